--- /dev/null
+++ b/include/spokewheel/scheduler.hpp
@@ -0,0 +1,151 @@
+// The interface of the decision module: plain structs in, plain structs out. The decisions themselves
+// are all in src/policy.cpp. Times are milliseconds on the caller's clock; sizes are units.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace spokewheel {
+
+enum class Effect { Repeatable, ByKey, Once };
+enum class Group { All, Zone, Cell };
+enum class Lifecycle { Gone, Ready, Draining };
+enum class ListForm { Delta, Full, Cached, Failed };
+enum class Outcome {
+    Served,
+    ServerError,
+    TurnedAway,
+    NoAnswer,
+    NoConnection,
+    ConnectionLost,
+    CalledOff,
+    NotSent
+};
+
+struct RequestClass {
+    std::string name;
+    Effect effect = Effect::Once;
+    Group group = Group::All;
+    double points = 1, lateWorth = 0;
+    double aimMs = 0, deadlineMs = 0, memorySpanMs = 0;
+    bool inOrder = false, stream = false, writes = false;
+};
+
+// The figures of a plan hold for each of its volumes over all hosts and nodes; a limit of 0 is none.
+struct Plan {
+    std::string name;
+    double limit = 0, limitBurst = 0, slack = 0;
+    double nominal = 0, reservation = 0, weight = 1, worthFactor = 1;
+};
+
+struct Settings {
+    std::vector<RequestClass> classes;
+    std::vector<Plan> plans;
+    int hosts = 1, rank = 0;
+    bool subscribe = false;  // the node list answers only when asked
+    bool mayProbe = false, mayTellPeers = false, mayCancel = false, maySecondCopy = false;
+    int maxAttempts = 1;
+    double maxHoldOffMs = 0, tickMs = 1;
+    double coldUnits = 0, coldMs = 0, coldShare = 1, tipMultiple = 1, fallMs = 0;
+    double drainGraceMs = 0, answerGraceMs = 0, askWithinMs = 0, settleMs = 0;
+    double extraFloor = 0, extraShare = 0, extraSpanMs = 0;  // a span of 0: no budget on attempts
+    double meanUnits = 1, topUnits = 1, fairWorth = 1, spareWorth = 1, meterMs = 0;
+    std::string zone;
+};
+
+// ---- events ----
+struct NodeEntry {
+    std::string node, zone;
+    Lifecycle lifecycle = Lifecycle::Ready;
+    int shard = -1;
+    double sizeHint = 1, cameUpMs = 0;
+};
+struct ListUpdate {
+    ListForm form = ListForm::Full;
+    std::vector<NodeEntry> entries;
+};
+struct Request {
+    std::string id, requestClass, plan;
+    std::int64_t key = -1;  // -1: none
+    std::int64_t volume = 0;
+    double ttlMs = 0, units = 1;
+    int shard = -1;  // -1: a new object, any node may take it
+    int hosts = 1;   // through how many hosts the volume works
+};
+struct Verdict {
+    std::string id, node;
+    Outcome outcome = Outcome::Served;
+    int attempt = 0;
+    double tookMs = 0;
+    bool ended = false;
+    double usage = 0, othersGot = 0;
+};
+struct AnswerStarted {
+    std::string id;
+};
+struct ClientGone {
+    std::string id;
+};
+struct ProbeResult {
+    std::string node;
+    Outcome outcome = Outcome::Served;
+    double tookMs = 0;
+};
+struct Wake {};
+struct PeerMessage {
+    int from = 0;
+    std::string bytes;
+};
+using Event =
+    std::variant<ListUpdate, Request, Verdict, AnswerStarted, ClientGone, ProbeResult, Wake, PeerMessage>;
+
+// ---- actions ----
+struct Attempt {
+    std::string id, node;
+    double expireAtMs = 0;
+};
+struct Refuse {
+    std::string id;
+    double holdOffMs = 0;
+};
+struct Fail {
+    std::string id;
+};
+struct Cancel {
+    std::string id;
+    int attempt = 0;
+};
+struct Probe {
+    std::string node;
+};
+struct TellPeers {
+    int to = -1;  // -1: every peer
+    std::string bytes;
+};
+struct Remind {
+    double afterMs = 0;
+};
+struct Subscribe {};
+struct FetchList {};
+using Action = std::variant<Attempt, Refuse, Fail, Cancel, Probe, TellPeers, Remind, Subscribe, FetchList>;
+
+class Scheduler {
+  public:
+    // Throws std::invalid_argument naming the setting when the settings contradict themselves.
+    Scheduler(const Settings& settings, std::uint64_t seed);
+    ~Scheduler();
+    Scheduler(Scheduler&&) noexcept;
+    Scheduler& operator=(Scheduler&&) noexcept;
+
+    // Everything that happened at one instant, in order of arrival; the actions take effect in order.
+    std::vector<Action> step(double nowMs, const std::vector<Event>& events);
+
+  private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace spokewheel
