Node window: running mean against its own recent low

Cause: the recent best was a drifting lucky minimum, windows grew until requests waited p50 0.8 s inside nodes.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -20,8 +20,8 @@
 
 constexpr double kPeriodMs = 2000, kSubperiods = 8, kSubMs = kPeriodMs / kSubperiods;
 constexpr double kFirstPeerWaitMs = 50, kMostPeerWaitMs = kSubMs / 2;
-constexpr double kWindowStart = 4, kWindowMost = 32, kWindowLeast = 1;
-constexpr double kWiden = 1.8, kNarrow = 2.6;  // latency against the recent best
+constexpr double kWindowStart = 4, kWindowMost = 24, kWindowLeast = 1;
+constexpr double kWiden = 1.5, kNarrow = 2.0, kBestDrift = 1.001;  // latency against the recent best
 constexpr double kRetryMs = 40, kSuspectRetryMs = 300, kCanaryMs = 500;
 constexpr double kGiftLateMs = 100;  // a gift this much later than its sender's best is dropped
 constexpr std::size_t kMessageMost = 256;
@@ -34,7 +34,7 @@
     double coldFrom = -1e18, notBefore = 0, lastVerdict = -1e18, lastSend = -1e18, narrowedAt = -1e18;
     double window = kWindowStart, best = 0, perUnit = 0;
     bool suspect = false;
-    int inflight = 0;
+    int inflight = 0, samples = 0;
     double unitsOut = 0;
     std::multiset<double> outSince;
     std::deque<std::pair<double, double>> coldSent, coldDone;  // time, units
@@ -342,9 +342,11 @@
     }
     void learn(Node& n, double tookMs, double units, double sentAt) {
         const double x = tookMs / std::max(1.0, units);
-        if (n.best <= 0) n.best = n.perUnit = x;
-        n.perUnit += 0.1 * (x - n.perUnit);
-        n.best += (x < n.best ? 0.2 : 0.01) * (x - n.best);
+        // A running mean against the lowest that it lately had: a single short answer is luck, not room.
+        ++n.samples;
+        n.perUnit += std::max(0.1, 1.0 / n.samples) * (x - n.perUnit);
+        if (n.samples < 6) return;
+        n.best = n.samples == 6 ? n.perUnit : std::min(n.best * kBestDrift, n.perUnit);
         const double ratio = n.perUnit / n.best;
         if (ratio < kWiden && n.inflight + 1 >= n.window - 1) n.window += 1 / n.window;
         if (ratio > kNarrow && sentAt > n.narrowedAt) {
