--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -24,6 +24,7 @@
 constexpr double kWiden = 1.5, kNarrow = 2.0, kBestDrift = 1.001;  // latency against the recent best
 constexpr double kRetryMs = 40, kSuspectRetryMs = 300, kCanaryMs = 500;
 constexpr double kGiftLateMs = 100;  // a gift this much later than its sender's best is dropped
+constexpr double kColdDone = 0.4;
 constexpr std::size_t kMessageMost = 256;
 constexpr unsigned char kVersion = 1;
 
@@ -329,14 +330,19 @@
         if (n.lifecycle != Lifecycle::Ready || now_ < n.notBefore) return false;
         if (silent(n)) return n.inflight < n.window && now_ >= n.lastSend + kCanaryMs;
         if (cold(n)) {
-            if (n.inflight >= 1) return false;
+            // What all hosts may send in any case grows with the capacity that the rules promise at this
+            // age; own completions add less than they were, for repeats and writes cost less than counted.
+            const double age = n.suspect ? 0 : std::clamp((now_ - n.coldFrom) / set_.coldMs, 0.0, 1.0);
+            const double grown = 1 + age * (1 / std::max(set_.coldShare, 0.01) - 1);
+            if (n.inflight >= std::max(1.0, std::floor(age * n.window))) return false;
             const auto within = [this](std::deque<std::pair<double, double>>& log) {
                 while (!log.empty() && log.front().first <= now_ - set_.fallMs) log.pop_front();
                 double sum = 0;
                 for (const auto& e : log) sum += e.second;
                 return sum;
             };
-            return within(n.coldSent) + units <= set_.coldUnits / set_.hosts + within(n.coldDone);
+            return within(n.coldSent) + units <=
+                   grown * set_.coldUnits / set_.hosts + kColdDone * within(n.coldDone);
         }
         return n.inflight < std::floor(n.window);
     }
