--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -21,7 +21,8 @@
 constexpr double kPeriodMs = 2000, kSubperiods = 8, kSubMs = kPeriodMs / kSubperiods;
 constexpr double kFirstPeerWaitMs = 50, kMostPeerWaitMs = kSubMs / 2;
 constexpr double kWindowStart = 4, kWindowMost = 24, kWindowLeast = 1;
-constexpr double kWiden = 1.5, kNarrow = 2.0, kBestDrift = 1.001;  // latency against the recent best
+constexpr double kNarrow = 2.0, kWidenAt = 0.75, kBestDrift = 1.001;  // against the recent best
+constexpr double kAimPart = 0.3;
 constexpr double kRetryMs = 40, kSuspectRetryMs = 300, kCanaryMs = 500;
 constexpr double kGiftLateMs = 100;  // a gift this much later than its sender's best is dropped
 constexpr double kColdDone = 0.4;
@@ -33,7 +34,7 @@
     int shard = -1;
     Lifecycle lifecycle = Lifecycle::Ready;
     double coldFrom = -1e18, notBefore = 0, lastVerdict = -1e18, lastSend = -1e18, narrowedAt = -1e18;
-    double window = kWindowStart, best = 0, perUnit = 0;
+    double window = kWindowStart, best = 0, perUnit = 0, ofAim = 0;
     bool suspect = false;
     int inflight = 0, samples = 0;
     double unitsOut = 0;
@@ -346,17 +347,19 @@
         }
         return n.inflight < std::floor(n.window);
     }
-    void learn(Node& n, double tookMs, double units, double sentAt) {
+    void learn(Node& n, double tookMs, double units, double aimMs, double sentAt) {
         const double x = tookMs / std::max(1.0, units);
         // A running mean against the lowest that it lately had: a single short answer is luck, not room.
         ++n.samples;
         n.perUnit += std::max(0.1, 1.0 / n.samples) * (x - n.perUnit);
-        if (n.samples < 6) return;
-        n.best = n.samples == 6 ? n.perUnit : std::min(n.best * kBestDrift, n.perUnit);
-        const double ratio = n.perUnit / n.best;
-        if (ratio < kWiden && n.inflight + 1 >= n.window - 1) n.window += 1 / n.window;
-        if (ratio > kNarrow && sentAt > n.narrowedAt) {
-            n.window *= 0.85;
+        n.best = n.samples <= 6 ? n.perUnit : std::min(n.best * kBestDrift, n.perUnit);
+        // Where a node was busy from the start its best is no guide; the aims are: time in the node past
+        // a part of the aim leaves no time to choose among what is held.
+        n.ofAim += std::max(0.1, 1.0 / n.samples) * (tookMs / aimMs - n.ofAim);
+        const double over = std::max(n.perUnit / n.best / kNarrow, n.ofAim / kAimPart);
+        if (over < kWidenAt && n.inflight + 1 >= n.window - 1) n.window += 1 / n.window;
+        if (over > 1 && sentAt > n.narrowedAt) {
+            n.window *= std::clamp(1 / over, 0.5, 0.9);
             n.narrowedAt = now_;
         }
         n.window = std::clamp(n.window, kWindowLeast, kWindowMost);
@@ -575,7 +578,7 @@
                 n.suspect = false;
                 n.coldFrom = std::max(n.coldFrom, now_);
             }
-            learn(n, verdict.tookMs, q.request.units, s.at);
+            learn(n, verdict.tookMs, q.request.units, std::max(1.0, q.kind->aimMs), s.at);
             n.coldDone.push_back({now_, q.request.units});
             while (n.coldDone.size() > 400) n.coldDone.pop_front();
             rateOf(*q.volume);
