--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -22,7 +22,7 @@
 constexpr double kFirstPeerWaitMs = 50, kMostPeerWaitMs = kSubMs / 2;
 constexpr double kWindowStart = 4, kWindowMost = 24, kWindowLeast = 1;
 constexpr double kNarrow = 2.0, kWidenAt = 0.75, kBestDrift = 1.001;  // against the recent best
-constexpr double kAimPart = 0.3;
+constexpr double kAimPart = 0.3, kFairStep = 0.3;
 constexpr double kRetryMs = 40, kSuspectRetryMs = 300, kCanaryMs = 500;
 constexpr double kGiftLateMs = 100;  // a gift this much later than its sender's best is dropped
 constexpr double kColdDone = 0.4;
@@ -67,7 +67,7 @@
     std::deque<std::pair<double, double>> gifts;  // expiry, units
     std::map<int, PeerView> peers;
     std::deque<Second> seconds;
-    double reserveStore = -1, reserveAt = 0, fairStore = 0, fairAt = 0;
+    double reserveStore = -1, reserveAt = 0, beyondAt = -1e18, fairStore = 0, fairAt = 0;
     double served = 0, servedAt = 0, metered = -1, meteredAt = -1e18;
     bool limited() const { return plan->limit > 0; }
 };
@@ -158,6 +158,7 @@
         for (const auto& event : events) std::visit([this](const auto& e) { on(e); }, event);
         boundary();
         settleCredits();
+        learnFair();
         followList();
         expire();
         dispatch();
@@ -425,6 +426,7 @@
         const double full = std::min(units, v.reserveStore), fair = std::min(units - full, v.fairStore);
         v.reserveStore -= full;
         v.fairStore -= fair;
+        if (full < units) v.beyondAt = now_;
         s.reserve += full;
         s.fair += fair;
     }
@@ -462,6 +464,18 @@
         const double full = std::min(q.request.units, s->reserve);
         s->reserve -= full;
         s->fair -= std::min(q.request.units - full, s->fair);
+        beyond_ += q.request.units - full;
+    }
+    // Once a second: what a unit of weight got beyond the reserves through this host is what it is due.
+    void learnFair() {
+        if (now_ < fairLearnedAt_ + 1000) return;
+        double weights = 0;
+        for (auto& [id, v] : volumes_)
+            if (v.beyondAt > fairLearnedAt_) weights += v.plan->weight * fraction(v);
+        const double rate = beyond_ * 1000 / std::min(2000.0, now_ - fairLearnedAt_);
+        if (weights > 0) fairPerWeight_ += kFairStep * (rate / weights - fairPerWeight_);
+        beyond_ = 0;
+        fairLearnedAt_ = now_;
     }
     bool itsTurn(const Held& q) {
         if (!q.kind->inOrder || q.request.key < 0) return true;
@@ -813,7 +827,7 @@
     double now_ = 0, startedAt_ = 0, nextWake_ = 1e18, armedAt_ = -1e18;
     bool begun_ = false, askPending_ = false, due_ = false;
     double askedAt_ = -1e18, askAt_ = 1e18, boundaryAt_ = 0, peerDelay_ = kFirstPeerWaitMs / 2;
-    double fairPerWeight_ = 1;
+    double fairPerWeight_ = 0, beyond_ = 0, fairLearnedAt_ = 0;
     std::uint64_t sub_ = 0, seq_ = 0;
     std::uint32_t incarnation_ = 0;
     std::map<std::string, Node> nodes_;
