--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,7 +25,7 @@
 constexpr double kAimPart = 0.3, kFairStep = 0.3;
 constexpr double kRetryMs = 40, kSuspectRetryMs = 300, kCanaryMs = 500;
 constexpr double kGiftLateMs = 100;  // a gift this much later than its sender's best is dropped
-constexpr double kColdDone = 0.4;
+constexpr double kColdDone = 0.6;
 constexpr std::size_t kMessageMost = 256;
 constexpr unsigned char kVersion = 1;
 
@@ -499,7 +499,7 @@
         for (auto& [id, n] : nodes_) {
             if (!mayGoTo(q, n) || silent(n) || !hasRoom(n, q.request.units)) continue;
             const double cost = std::max(n.perUnit, 1.0) * (1 + n.unitsOut + backlog_[n.shard]) *
-                                (cold(n) ? 4 : 1);
+                                (cold(n) ? 50 : 1);
             if (!found || cost < least) found = &n, least = cost;
         }
         return found;
