--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -189,9 +189,8 @@
         auto& c = s.classes[i];
         const auto at = "classes." + std::to_string(i) + ".";
         paths.get(at + "name", c.name);
-        paths.choose(
-            at + "effect", c.effect,
-            {{"repeatable", Effect::Repeatable}, {"by_key", Effect::ByKey}, {"once", Effect::Once}});
+        paths.choose(at + "effect", c.effect,
+                     {{"repeatable", Effect::Repeatable}, {"by_key", Effect::ByKey}, {"once", Effect::Once}});
         paths.choose(at + "group", c.group,
                      {{"all", Group::All}, {"zone", Group::Zone}, {"cell", Group::Cell}});
         paths.get(at + "points", c.points);
@@ -254,10 +253,17 @@
     entry.shard = static_cast<int>(line.wholeOr(1, "group", -1));
     entry.sizeHint = line.numberOr(2, "power-hint", 1);
     switch (line.whole(3, "lifecycle")) {
-        case 0: entry.lifecycle = Lifecycle::Gone; break;
-        case 1: entry.lifecycle = Lifecycle::Ready; break;
-        case 2: entry.lifecycle = Lifecycle::Draining; break;
-        default: line.fail("lifecycle", "0, 1 or 2");
+        case 0:
+            entry.lifecycle = Lifecycle::Gone;
+            break;
+        case 1:
+            entry.lifecycle = Lifecycle::Ready;
+            break;
+        case 2:
+            entry.lifecycle = Lifecycle::Draining;
+            break;
+        default:
+            line.fail("lifecycle", "0, 1 or 2");
     }
     entry.cameUpMs = line.numberOr(5, "came-up-ms", 0);
     entry.node = line.text(6, "server");
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,7 +25,6 @@
 constexpr double kAimPart = 0.3, kFairStep = 0.3;
 constexpr double kRetryMs = 40, kSuspectRetryMs = 300, kCanaryMs = 500;
 constexpr double kGiftLateMs = 100;  // a gift this much later than its sender's best is dropped
-constexpr double kColdDone = 0.6;
 constexpr std::size_t kMessageMost = 256;
 constexpr unsigned char kVersion = 1;
 
@@ -344,7 +343,8 @@
                 return sum;
             };
             return within(n.coldSent) + units <=
-                   grown * set_.coldUnits / set_.hosts + kColdDone * within(n.coldDone);
+                   grown * set_.coldUnits / set_.hosts +
+                       (1 - 1 / std::max(1.0, set_.tipMultiple)) * within(n.coldDone);
         }
         return n.inflight < std::floor(n.window);
     }
@@ -498,8 +498,8 @@
         double least = 0;
         for (auto& [id, n] : nodes_) {
             if (!mayGoTo(q, n) || silent(n) || !hasRoom(n, q.request.units)) continue;
-            const double cost = std::max(n.perUnit, 1.0) * (1 + n.unitsOut + backlog_[n.shard]) *
-                                (cold(n) ? 50 : 1);
+            const double cost =
+                std::max(n.perUnit, 1.0) * (1 + n.unitsOut + backlog_[n.shard]) * (cold(n) ? 50 : 1);
             if (!found || cost < least) found = &n, least = cost;
         }
         return found;
@@ -520,7 +520,8 @@
             }
             if (!itsTurn(*q)) continue;
             const Node* n = q->request.shard >= 0 ? holder(q->request.shard) : nullptr;
-            if (q->request.shard >= 0 && (!n || (!cold(*n) && n->inflight >= std::floor(n->window)))) continue;
+            if (q->request.shard >= 0 && (!n || (!cold(*n) && n->inflight >= std::floor(n->window))))
+                continue;
             const double per = n ? n->perUnit : 0;
             double value = worth(*q, now_ + per * q->request.units);
             if (n && std::count(n->recentKeys.begin(), n->recentKeys.end(), q->request.key)) value *= 1.6;
@@ -705,7 +706,8 @@
             double sum = v.held + v.rLast;
             std::vector<std::pair<int, double>> want;
             for (auto& [rank, view] : v.peers)
-                if (view.sub + 1 >= sub_ && view.r + view.held > 0) want.push_back({rank, view.r + view.held});
+                if (view.sub + 1 >= sub_ && view.r + view.held > 0)
+                    want.push_back({rank, view.r + view.held});
             for (const auto& w : want) sum += w.second;
             v.quiet = v.held + v.rLast > 0 ? 0 : v.quiet + 1;
             if (v.quiet > 2 && want.empty()) continue;
--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,328 @@
+#include <gtest/gtest.h>
+
+#include "support.hpp"
+
+namespace spokewheel::testing {
+namespace {
+
+constexpr double kStart = 100000;
+
+TEST(Answers, HeldWorkIsRefusedBeforeItsClientGivesUp) {
+    Host host(plainSettings());
+    host.step(kStart, {list({node("a", 0)}), request("r", "read", 5)});  // nobody holds shard 5
+    host.runTo(kStart + 5000);
+    ASSERT_TRUE(host.refused.count("r"));
+    EXPECT_LE(host.refused["r"], kStart + 2500);
+    EXPECT_TRUE(host.sent.empty());
+}
+
+TEST(Answers, AnAttemptWithoutAnOutcomeIsStillAnsweredInTime) {
+    Host host(plainSettings());
+    host.step(kStart, {list({node("a", 0)}), request("r", "once", 0)});
+    ASSERT_EQ(host.sent.size(), 1u);
+    host.runTo(kStart + 5000);
+    ASSERT_TRUE(host.failed.count("r"));
+    EXPECT_LE(host.failed["r"], kStart + 2500 + 8);
+    host.verdict(kStart + 6000, host.sent[0], Outcome::NoAnswer, true);
+    EXPECT_EQ(host.failed.size() + host.refused.size(), 1u);
+}
+
+TEST(Answers, ATimerThatFiresAFractionEarlyDoesNotStopTheClock) {
+    // Reminders are rounded on the wire; one that came a hair before its time left no other set.
+    Scheduler scheduler(plainSettings(), 1);
+    double now = kStart + 0.4, due = -1;
+    bool refused = false;
+    std::vector<Event> events = {list({node("a", 0)}), request("r", "read", 5)};
+    for (int i = 0; i < 5000 && !refused && (i == 0 || due >= 0); ++i) {
+        due = -1;
+        for (const auto& action : scheduler.step(now, events)) {
+            if (const auto* w = std::get_if<Remind>(&action)) due = now + w->afterMs - 0.0005;
+            refused = refused || std::holds_alternative<Refuse>(action);
+        }
+        if (due >= 0) now = due;
+        events = {Wake{}};
+    }
+    EXPECT_TRUE(refused);
+    EXPECT_LE(now, kStart + 2501);
+}
+
+TEST(Answers, EventsAboutUnknownOrFinishedThingsAreDropped) {
+    Host host(plainSettings());
+    Verdict stray;
+    stray.id = "nobody";
+    stray.node = "nowhere";
+    host.step(kStart, {list({node("a", 0)}), stray, ClientGone{"nobody"}, AnswerStarted{"nobody"},
+                       ProbeResult{"nowhere", Outcome::Served, 1}, request("r", "read", 0)});
+    ASSERT_EQ(host.sent.size(), 1u);
+    host.verdict(kStart + 20, host.sent[0], Outcome::Served);
+    host.verdict(kStart + 21, host.sent[0], Outcome::Served);
+    host.step(kStart + 22, {ClientGone{"r"}});
+    host.runTo(kStart + 5000);
+    EXPECT_EQ(host.sent.size(), 1u);
+    EXPECT_TRUE(host.refused.empty() && host.failed.empty());
+}
+
+TEST(Answers, AnUnknownClassOrPlanIsRefusedAtOnce) {
+    Host host(plainSettings());
+    host.step(kStart, {list({node("a", 0)}), request("r", "no such class", 0)});
+    EXPECT_EQ(host.refused.count("r"), 1u);
+}
+
+TEST(Effects, OnceIsNeverSentAgainNorRefusedAfterItMayHaveRun) {
+    for (const auto outcome : {Outcome::ServerError, Outcome::ConnectionLost, Outcome::NoAnswer}) {
+        Host host(plainSettings());
+        host.step(kStart, {list({node("a", 0), node("b", 1)}), request("r", "once", -1)});
+        ASSERT_EQ(host.sent.size(), 1u);
+        host.verdict(kStart + 20, host.sent[0], outcome);
+        host.runTo(kStart + 4000);
+        EXPECT_EQ(host.sent.size(), 1u);
+        EXPECT_EQ(host.failed.count("r"), 1u);
+        EXPECT_TRUE(host.refused.empty());
+    }
+}
+
+TEST(Effects, OnceMayGoAgainWhenItProvablyNeverRan) {
+    Host host(plainSettings());
+    host.step(kStart, {list({node("a", 0)}), request("r", "once", 0)});
+    host.verdict(kStart + 5, host.sent.at(0), Outcome::TurnedAway);
+    host.runTo(kStart + 500);
+    EXPECT_EQ(host.sent.size(), 2u);
+}
+
+TEST(Effects, AKeyedRepeatStaysInItsCellAndItsTime) {
+    Host host(plainSettings());
+    host.step(kStart, {list({node("a", 0), node("b", 1)}), request("r", "keyed", -1)});
+    ASSERT_EQ(host.sent.size(), 1u);
+    const auto first = host.sent[0];
+    host.verdict(kStart + 20, first, Outcome::ServerError);
+    host.runTo(kStart + 100);
+    ASSERT_EQ(host.sent.size(), 2u);
+    EXPECT_EQ(host.sent[1].node, first.node);
+
+    // Its node is gone: nothing may be sent elsewhere, and a refusal would promise too much.
+    host.step(kStart + 110, {list({node(first.node == "a" ? "b" : "a", first.node == "a" ? 1 : 0)})});
+    host.verdict(kStart + 120, host.sent[1], Outcome::ConnectionLost);
+    host.runTo(kStart + 4000);
+    EXPECT_EQ(host.sent.size(), 2u);
+    EXPECT_EQ(host.failed.count("r"), 1u);
+    EXPECT_TRUE(host.refused.empty());
+    EXPECT_LE(host.failed["r"], kStart + 1500);
+}
+
+TEST(Effects, NoRequestIsSentMoreOftenThanAllowed) {
+    Host host(plainSettings());
+    host.step(kStart, {list({node("a", 0)}), request("r", "read", 0)});
+    for (int i = 0; i < 10; ++i) {
+        host.verdict(kStart + 100 * i + 5, host.sent.back(), Outcome::ServerError);
+        host.runTo(kStart + 100 * i + 99);
+    }
+    EXPECT_EQ(host.sent.size(), 3u);
+}
+
+TEST(Drains, NothingGoesToADrainingOrMissingNode) {
+    Host host(plainSettings());
+    host.step(kStart, {list({node("a", 0), node("b", 1)})});
+    host.step(kStart + 10, {list({node("a", 0, Lifecycle::Draining)}, ListForm::Delta)});
+    host.step(kStart + 20, {request("r1", "read", 0), request("w1", "once", -1)});
+    host.step(kStart + 30, {list({node("a", 0)})});  // b is gone by its absence
+    host.step(kStart + 40, {request("r2", "read", 1)});
+    host.runTo(kStart + 60);
+    for (std::size_t i = 0; i < host.sent.size(); ++i) {
+        if (host.sent[i].id == "w1") {
+            EXPECT_EQ(host.sent[i].node, "b");
+        }
+        if (host.sent[i].id == "r1") {
+            EXPECT_GE(host.sentAt[i], kStart + 30);
+        }
+        EXPECT_NE(host.sent[i].id, "r2");
+    }
+}
+
+TEST(Drains, ASuccessorOnTheSameShardTakesOver) {
+    Host host(plainSettings());
+    host.step(kStart, {list({node("a", 0, Lifecycle::Draining)}), request("r", "read", 0)});
+    EXPECT_TRUE(host.sent.empty());
+    host.step(kStart + 100, {list({node("c", 0, Lifecycle::Ready, kStart + 50)}, ListForm::Delta)});
+    ASSERT_EQ(host.sent.size(), 1u);
+    EXPECT_EQ(host.sent[0].node, "c");
+}
+
+// Sends as fast as a node answers for a second; returns the units sent.
+double pressed(Host& host, double from, double units) {
+    double sum = 0;
+    std::size_t answered = host.sent.size();
+    for (int i = 0; i < 500; ++i) {
+        const double now = from + 2 * i;
+        host.step(now, {request("p" + std::to_string(now), "read", 0, units)});
+        for (; answered < host.sent.size(); ++answered) {
+            sum += units;
+            if (i % 5 == 0) host.verdict(now + 1, host.sent[answered], Outcome::Served, true, 5);
+            else host.verdict(now + 1, host.sent[answered], Outcome::TurnedAway, true, 5);
+        }
+    }
+    return sum;
+}
+
+TEST(Cold, AFreshNodeGetsThisHostsPartOnly) {
+    auto settings = plainSettings();
+    settings.hosts = 3;
+    Host host(settings);
+    host.step(kStart, {list({node("a", 0, Lifecycle::Ready, kStart - 100)})});
+    // A third of 6 units, grown by a second's age, and a part of what it completed.
+    EXPECT_LE(pressed(host, kStart, 1), 6);
+    Host warm(settings);
+    warm.step(kStart, {list({node("a", 0, Lifecycle::Ready, kStart - 20000)})});
+    EXPECT_GT(pressed(warm, kStart, 1), 6);
+}
+
+TEST(Cold, ANodeThatDroppedConnectionsIsTakenForColdBeforeTheListSaysSo) {
+    Host host(plainSettings());
+    host.step(kStart, {list({node("a", 0)}), request("r", "read", 0)});
+    host.verdict(kStart + 5, host.sent.at(0), Outcome::ConnectionLost);
+    host.runTo(kStart + 800);
+    ASSERT_EQ(host.sent.size(), 2u);
+    host.verdict(kStart + 820, host.sent[1], Outcome::Served);
+    host.step(kStart + 830, {request("x1", "read", 0, 5), request("x2", "read", 0, 5)});
+    EXPECT_LE(host.sent.size(), 3u);
+}
+
+TEST(Order, RequestsOfOneKeyRunOneAtATimeAndRestAfterDoubt) {
+    Host host(plainSettings());
+    auto r1 = request("k1", "ordered", 0), r2 = request("k2", "ordered", 0),
+         other = request("o", "ordered", 0);
+    r1.key = r2.key = 9;
+    other.key = 10;
+    host.step(kStart, {list({node("a", 0)}), r1, r2, other});
+    ASSERT_EQ(host.sent.size(), 2u);
+    EXPECT_EQ(host.tries.count("k2"), 0u);
+    const auto first = host.sent[0].id == "k1" ? host.sent[0] : host.sent[1];
+    // The client leaves, yet its attempt is out: k2 still waits, then rests after the doubt.
+    host.step(kStart + 10, {ClientGone{"k1"}});
+    host.runTo(kStart + 300);
+    EXPECT_EQ(host.tries.count("k2"), 0u);
+    host.verdict(kStart + 310, first, Outcome::NoAnswer, true);
+    host.runTo(kStart + 405);
+    EXPECT_EQ(host.tries.count("k2"), 0u);
+    host.runTo(kStart + 450);
+    EXPECT_EQ(host.tries.count("k2"), 1u);
+}
+
+TEST(Budget, FurtherAttemptsStayWithinTheShareOfWhatWasTaken) {
+    auto settings = plainSettings();
+    settings.extraFloor = 3;
+    settings.extraShare = 0.1;
+    settings.extraSpanMs = 5000;
+    Host host(settings);
+    host.step(kStart, {list({node("a", 0)})});
+    std::size_t answered = 0;
+    for (int i = 0; i < 40; ++i) {
+        host.step(kStart + 50 * i, {request("r" + std::to_string(i), "read", 0)});
+        for (; answered < host.sent.size(); ++answered)
+            host.verdict(kStart + 50 * i + 1, host.sent[answered], Outcome::ServerError);
+    }
+    EXPECT_LE(host.sent.size(), 40u + 7u);
+    EXPECT_GT(host.sent.size(), 40u);
+}
+
+TEST(Windows, WorkIsHeldHereRatherThanInTheNode) {
+    Host host(plainSettings());
+    std::vector<Event> events = {list({node("a", 0)})};
+    for (int i = 0; i < 100; ++i) events.push_back(request("r" + std::to_string(i), "read", 0));
+    host.step(kStart, events);
+    EXPECT_EQ(host.sent.size(), 4u);
+}
+
+TEST(Windows, GrowWhileAnswersAreFastAndShrinkWhenSlow) {
+    const auto outAfter = [](double took) {
+        Host host(plainSettings());
+        std::vector<Event> events = {list({node("a", 0)})};
+        for (int i = 0; i < 400; ++i) events.push_back(request("r" + std::to_string(i), "read", 0));
+        host.step(kStart, events);
+        std::size_t answered = 0;
+        double now = kStart;
+        for (; answered < 60; ++answered)
+            host.verdict(now += 3, host.sent.at(answered), Outcome::Served, true, answered < 20 ? 20 : took);
+        return host.sent.size() - answered;
+    };
+    EXPECT_GT(outAfter(20), 5u);
+    EXPECT_LE(outAfter(20), 32u);
+    EXPECT_LE(outAfter(400), 2u);
+}
+
+TEST(Windows, ASilentNodeGetsNoNewObjects) {
+    // Guards against a hang: it takes work and answers nothing.
+    Host host(plainSettings());
+    host.step(kStart, {list({node("a", 0), node("b", 1)}), request("r", "read", 0)});
+    for (int i = 1; i <= 10; ++i) {
+        host.step(kStart + 200 * i, {request("w" + std::to_string(i), "once", -1)});
+        if (host.sent.back().node == "b")
+            host.verdict(kStart + 200 * i + 20, host.sent.back(), Outcome::Served);
+        if (i > 4) {
+            EXPECT_EQ(host.sent.back().node, "b");
+        }
+    }
+}
+
+TEST(Ordering, WorkInsideTheReserveGoesBeforeWorkBeyondIt) {
+    auto settings = plainSettings();
+    Host host(settings);
+    std::vector<Event> events = {list({node("a", 0)})};
+    for (int i = 0; i < 60; ++i) events.push_back(request("greedy" + std::to_string(i), "read", 0, 2));
+    auto modest = request("modest", "read", 0, 2);
+    modest.volume = 8;
+    events.push_back(modest);
+    host.step(kStart, events);
+    for (std::size_t i = 0; i < 12; ++i) host.verdict(kStart + 10 + i, host.sent.at(i), Outcome::Served);
+    EXPECT_EQ(host.tries.count("modest"), 1u);
+}
+
+TEST(Membership, AskSitesAreAskedAtStartAndAgainAfterAFailure) {
+    auto settings = plainSettings();
+    settings.subscribe = true;
+    Host host(settings, 3), twin(settings, 4);
+    for (auto* h : {&host, &twin}) {
+        h->step(kStart, {list({node("a", 0)}, ListForm::Cached)});
+        ASSERT_EQ(h->asked.size(), 1u);
+        h->step(kStart + 500, {list({}, ListForm::Failed)});
+        h->runTo(kStart + 3000);
+        ASSERT_EQ(h->asked.size(), 2u);
+        h->step(kStart + 3000, {list({node("a", 0)})});
+        h->runTo(kStart + 30000);
+        EXPECT_EQ(h->asked.size(), 2u);
+    }
+    EXPECT_NE(host.asked[1], twin.asked[1]);  // jittered by the seed
+}
+
+TEST(Settings, ContradictionsAreNamed) {
+    const auto complaint = [](void (*spoil)(Settings&)) {
+        auto settings = plainSettings();
+        spoil(settings);
+        try {
+            Scheduler scheduler(settings, 1);
+        } catch (const std::invalid_argument& e) {
+            return std::string(e.what());
+        }
+        return std::string();
+    };
+    EXPECT_NE(complaint([](Settings& s) { s.extraShare = 1.5; }).find("extraShare"), std::string::npos);
+    EXPECT_NE(complaint([](Settings& s) { s.plans[1].limit = -1; }).find("plans"), std::string::npos);
+    EXPECT_NE(complaint([](Settings& s) { s.rank = 4; }).find("hosts"), std::string::npos);
+    EXPECT_EQ(complaint([](Settings&) {}), "");
+}
+
+TEST(Determinism, TheSameEventsGiveTheSameActions) {
+    const auto run = [] {
+        Host host(plainSettings(), 5);
+        std::vector<Event> events = {list({node("b", 1), node("a", 0), node("c", 2)})};
+        for (int i = 0; i < 50; ++i) events.push_back(request("r" + std::to_string(i), "once", -1));
+        host.step(kStart, events);
+        host.runTo(kStart + 3000);
+        std::string log;
+        for (const auto& a : host.sent) log += a.id + a.node;
+        return log;
+    };
+    EXPECT_EQ(run(), run());
+}
+
+}  // namespace
+}  // namespace spokewheel::testing
