--- a/tests/limit_test.cpp
+++ b/tests/limit_test.cpp
@@ -79,6 +79,18 @@
     EXPECT_LE(later, 40u);
 }
 
+// Nothing is heard of the other host: of D = 36 it counts as having spent 18, and the rest is split with its
+// weight of 18 against none here: floor(18 / 4) + 0.
+TEST(Split, ASilentHostCountsAsHavingSpentItsEvenPart) {
+    Host host(many(2, 0));
+    host.step(kStart, {list(fleet())});
+    host.step(kStart + 400, burst(1000, 1, 2));
+    host.verdict(kStart + 420, host.sent.at(0), Outcome::Served);
+    host.runTo(kStart + 8240);
+    host.step(kStart + 8241, burst(0, 30, 2));
+    EXPECT_EQ(host.sent.size(), 1u + 4u);
+}
+
 TEST(Split, AVolumeWithoutALimitSkipsCredits) {
     Host host(many(2, 0));
     host.step(kStart, {list(fleet())});
