--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -22,7 +22,7 @@
 constexpr double kFirstPeerWaitMs = 50, kMostPeerWaitMs = kSubMs / 2;
 constexpr double kWindowStart = 4, kWindowMost = 24, kWindowLeast = 1;
 constexpr double kNarrow = 2.0, kWidenAt = 0.75, kBestDrift = 1.001;  // against the recent best
-constexpr double kAimPart = 0.3, kFairStep = 0.3;
+constexpr double kAimPart = 0.3, kFinishPart = 0.5, kFairStep = 0.3;
 constexpr double kRetryMs = 40, kSuspectRetryMs = 300, kCanaryMs = 500;
 constexpr double kGiftLateMs = 100;  // a gift this much later than its sender's best is dropped
 constexpr std::size_t kMessageMost = 256;
@@ -523,7 +523,7 @@
             if (q->request.shard >= 0 && (!n || (!cold(*n) && n->inflight >= std::floor(n->window))))
                 continue;
             const double per = n ? n->perUnit : 0;
-            double value = worth(*q, now_ + per * q->request.units);
+            double value = worth(*q, now_ + kFinishPart * per * q->request.units);
             if (n && std::count(n->recentKeys.begin(), n->recentKeys.end(), q->request.key)) value *= 1.6;
             ranked.push_back({value, q->aimAt, seq, q});
         }
