The aim runs from the client's start, read from the time left

Seen as gaps with no event at all and requests short of their class's time; nodes answered in 40 ms, so neither hangs nor overload. Should also cover a client's later tries.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -400,7 +400,11 @@
         q.seq = ++seq_;
         q.arrived = now_;
         q.deadline = now_ + request.ttlMs;
-        q.aimAt = now_ + kind->aimMs;
+        // Less time than this class ever came with has been spent before: a client's earlier try, or a stall
+        // of this host that kept the request waiting unseen. Its aim has been running meanwhile.
+        double& longest = longestTtl_[kind];
+        longest = std::max(longest, request.ttlMs);
+        q.aimAt = now_ + kind->aimMs - (longest - request.ttlMs);
         byId_[request.id] = std::prev(pool_.end());
         if (kind->inOrder && request.key >= 0) keys_[request.key].turn.push_back(&q);
         deadlines_.insert({q.deadline, request.id});
@@ -840,6 +844,7 @@
     std::map<std::uint64_t, Held*> held_;
     std::map<std::int64_t, KeyTurn> keys_;
     std::map<int, double> backlog_;
+    std::unordered_map<const RequestClass*, double> longestTtl_;
     std::deque<double> takenAt_, extraAt_;
     std::set<std::pair<double, std::string>> deadlines_;
 };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -276,6 +276,21 @@
     EXPECT_EQ(host.tries.count("modest"), 1u);
 }
 
+TEST(Ordering, ARequestThatWaitedUnseenIsKnownToBeLate) {
+    // Guards against ordering stale work first after a stall of this host (or on a client's later try).
+    auto settings = plainSettings();
+    settings.spareWorth = 0.3;
+    Host host(settings);
+    host.step(kStart, {list({node("a", 0)}), request("x1", "read", 0), request("x2", "read", 0),
+                       request("x3", "read", 0), request("x4", "read", 0)});
+    auto stale = request("stale", "read", 0);
+    stale.ttlMs = 1500;  // a second of its time is gone, and so is its aim of 500 ms
+    host.step(kStart + 10, {stale, request("fresh", "read", 0)});
+    host.verdict(kStart + 20, host.sent.at(0), Outcome::Served);
+    EXPECT_EQ(host.tries.count("fresh"), 1u);
+    EXPECT_EQ(host.tries.count("stale"), 0u);
+}
+
 TEST(Membership, AskSitesAreAskedAtStartAndAgainAfterAFailure) {
     auto settings = plainSettings();
     settings.subscribe = true;
