--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -556,6 +556,10 @@
                set_.extraFloor + set_.extraShare * static_cast<double>(takenAt_.size());
     }
     void send(Held& q, Node& n) {
+        // A trial at a silent node is bounded where it may be repeated, so that it can be tried again. Should
+        // cover hangs, dead machines and cut links; wastes one attempt where the node was only slow.
+        const bool trial = q.kind->effect == Effect::Repeatable && silent(n);
+        const double expireAt = trial ? std::min(q.deadline, now_ + 2 * kCanaryMs) : q.deadline;
         if (!q.drawn) draw(*q.volume, q.request.units);
         q.drawn = true;
         if (!q.sent.empty()) extraAt_.push_back(now_);
@@ -571,7 +575,7 @@
         n.recentKeys.push_back(q.request.key);
         if (n.recentKeys.size() > 2) n.recentKeys.pop_front();
         held_.erase(q.seq);
-        out_.emplace_back(Attempt{q.request.id, n.id, q.deadline});
+        out_.emplace_back(Attempt{q.request.id, n.id, expireAt});
     }
     void on(const Verdict& verdict) {
         const auto found = byId_.find(verdict.id);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -263,6 +263,18 @@
     }
 }
 
+TEST(Windows, ATrialAtASilentNodeIsBoundedWhereItMayBeRepeated) {
+    Host host(plainSettings());
+    host.step(kStart, {list({node("a", 0)}), request("r", "read", 0)});
+    EXPECT_EQ(host.sent.at(0).expireAtMs, kStart + 2500);
+    host.step(kStart + 1000, {request("trial", "read", 0)});
+    ASSERT_EQ(host.sent.size(), 2u);
+    EXPECT_EQ(host.sent[1].expireAtMs, kStart + 2000);
+    host.verdict(kStart + 2000, host.sent[1], Outcome::NoAnswer);
+    host.runTo(kStart + 2100);
+    EXPECT_EQ(host.tries["trial"], 2);
+}
+
 TEST(Ordering, WorkInsideTheReserveGoesBeforeWorkBeyondIt) {
     auto settings = plainSettings();
     Host host(settings);
