--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,19 +1,18 @@
 // The decisions of spokewheel, all of them. Interface: include/spokewheel/scheduler.hpp.
-// Sections: state, membership, limit credits, node windows, held queues and ordering, attempts and
-// answers, peer reports, the step. Why things are as they are: docs/design.md.
+// Plain state: state.hpp; bytes between hosts: peer_messages.hpp. Sections: membership, limit credits, node
+// windows, held queues and ordering, kept nodes, attempts and answers, peer reports, timers. docs/design.md.
 #include <algorithm>
-#include <array>
 #include <cmath>
-#include <deque>
 #include <list>
-#include <map>
-#include <queue>
 #include <random>
 #include <set>
-#include <stdexcept>
+#include <tuple>
 #include <unordered_map>
 
+#include "peer_messages.hpp"
+#include "settings_check.hpp"
 #include "spokewheel/scheduler.hpp"
+#include "state.hpp"
 
 namespace spokewheel {
 namespace {
@@ -25,135 +24,34 @@
 constexpr double kAimPart = 0.3, kFinishPart = 0.5, kFairStep = 0.3;
 constexpr double kRetryMs = 40, kSuspectRetryMs = 300, kCanaryMs = 500;
 constexpr double kGiftLateMs = 100;  // a gift this much later than its sender's best is dropped
-constexpr std::size_t kMessageMost = 256;
-constexpr unsigned char kVersion = 1;
-
-struct Node {
-    std::string id, zone;
-    int shard = -1;
-    Lifecycle lifecycle = Lifecycle::Ready;
-    double coldFrom = -1e18, notBefore = 0, lastVerdict = -1e18, lastSend = -1e18, narrowedAt = -1e18;
-    double window = kWindowStart, best = 0, perUnit = 0, ofAim = 0;
-    bool suspect = false;
-    int inflight = 0, samples = 0;
-    double unitsOut = 0;
-    std::multiset<double> outSince;
-    std::deque<std::pair<double, double>> coldSent, coldDone;  // time, units
-    std::deque<std::int64_t> recentKeys;
-};
-
-struct PeerView {
-    std::uint64_t sub = 0, total = 0;  // the sender's subperiod of the last entry, its running total
-    double r = 0, held = 0;
-    bool known = false;
-};
-
-struct Second {
-    std::int64_t at;
-    double reserve, fair;
-};
-
-struct Volume {
-    std::int64_t id = 0;
-    const Plan* plan = nullptr;
-    int hosts = 1;
-    // The rebuilt store (D), this host's figures of the subperiod, and the guard's own parts.
-    double level = 0, filledAt = 0, credit = 0, r = 0, rLast = 0, held = 0;
-    bool first = true;
-    std::uint64_t total = 0;
-    int quiet = 0;
-    double even = 0, lend = 0;
-    std::deque<std::pair<double, double>> gifts;  // expiry, units
-    std::map<int, PeerView> peers;
-    std::deque<Second> seconds;
-    double reserveStore = -1, reserveAt = 0, beyondAt = -1e18, fairStore = 0, fairAt = 0;
-    double served = 0, servedAt = 0, metered = -1, meteredAt = -1e18;
-    bool limited() const { return plan->limit > 0; }
-};
-
-struct Sent {
-    Node* node;
-    double at;
-    bool open;
-};
-
-struct Held {
-    Request request;
-    const RequestClass* kind = nullptr;
-    Volume* volume = nullptr;
-    std::uint64_t seq = 0;
-    double arrived = 0, deadline = 0, aimAt = 0, notBefore = 0, mayRunAt = 0;
-    std::vector<Sent> sent;
-    int open = 0;
-    const Node* bound = nullptr;
-    int boundShard = -1;
-    std::string boundZone;
-    bool mayHaveRun = false, ended = false, drawn = false, started = false;
-};
-
-struct KeyTurn {
-    std::deque<Held*> turn;
-    double restUntil = -1e18;
-};
-
-struct Peer {
-    std::uint32_t incarnation = 0, previous = 0;
-    std::uint64_t sub = 0, parts = 0;
-    int partCount = 0;
-    bool known = false, complete = false;
-    double leastOffset = 1e18, heardAt = -1e18;
-};
-
-void putVarint(std::string& out, std::uint64_t value) {
-    for (; value >= 128; value >>= 7) out += static_cast<char>(value | 128);
-    out += static_cast<char>(value);
-}
-
-struct Reader {
-    const std::string& bytes;
-    std::size_t at = 0;
-    bool good = true;
-    std::uint64_t byte() {
-        if (at >= bytes.size()) return good = false, 0;
-        return static_cast<unsigned char>(bytes[at++]);
-    }
-    std::uint64_t varint() {
-        std::uint64_t value = 0;
-        for (int shift = 0; shift < 63; shift += 7) {
-            const auto b = byte();
-            value |= (b & 127) << shift;
-            if (b < 128) return value;
-        }
-        return good = false, 0;
-    }
-};
-
-void check(bool fine, const char* setting) {
-    if (!fine) throw std::invalid_argument(std::string("setting '") + setting + "' is out of range");
-}
+constexpr double kListAnswerMs = 4000, kListAgainMs = 700, kListJitter = 1.5;  // of asking for the list
+constexpr double kForgetMs = 30000;  // idle volumes and unheard peers are dropped; parts are full by then
+constexpr double kStartPart = 0.25;  // of a guard part: kept back in running, held at a (re)start
+// Nodes kept by one host for all: the shares of a cold node's budget that its keeper and two stand-ins have.
+constexpr std::array<double, 3> kKeeperParts = {0.7, 0.2, 0.1};
+constexpr double kAskWaitMs = 100, kAskWaitLeastMs = 30, kAskWaitMostMs = 200;  // until a keeper is deaf
+constexpr double kAskAgainMs = 500, kDeafMs = 2000, kLeaseMs = 3000, kHeatMs = 1000, kHeatStep = 4,
+                 kHeatMost = 255;
 
 }  // namespace
 
 class Scheduler::Impl {
   public:
     Impl(const Settings& settings, std::uint64_t seed) : set_(settings), random_(seed) {
-        check(set_.hosts >= 1 && set_.rank >= 0 && set_.rank < set_.hosts, "hosts");
-        check(set_.maxAttempts >= 1, "maxAttempts");
-        check(set_.extraShare >= 0 && set_.extraShare <= 1 && set_.extraFloor >= 0, "extraShare");
-        check(set_.coldShare >= 0 && set_.coldShare <= 1 && set_.coldUnits >= 0, "coldShare");
-        check(set_.fairWorth >= 0 && set_.fairWorth <= 1, "fairWorth");
-        check(set_.spareWorth >= 0 && set_.spareWorth <= 1, "spareWorth");
-        for (const auto& c : set_.classes)
-            check(c.aimMs >= 0 && c.deadlineMs >= 0 && c.lateWorth >= 0 && c.lateWorth <= 1, "classes");
-        for (const auto& p : set_.plans)
-            check(p.limit >= 0 && p.limitBurst >= 0 && p.reservation >= 0 && p.weight >= 0, "plans");
-        incarnation_ = static_cast<std::uint32_t>(random_());
+        validate(set_);
+        incarnation_ = static_cast<std::uint32_t>(random_() & 0xffff);
+        seq_ = random_() & 0xfffff;
+        shared_ = set_.mayTellPeers && set_.hosts > kWindowMost;
     }
 
     std::vector<Action> step(double now, const std::vector<Event>& events) {
         out_.clear();
         now_ = now;
-        if (!begun_) begin();
+        if (startedAt_ < 0) {
+            startedAt_ = now_;
+            sub_ = subOf(now_);
+            if (set_.subscribe) askAt_ = now_;
+        }
         for (const auto& event : events) std::visit([this](const auto& e) { on(e); }, event);
         boundary();
         settleCredits();
@@ -161,44 +59,33 @@
         followList();
         expire();
         dispatch();
+        tellHeat();
+        flushNotes();
         arm();
         return std::move(out_);
     }
 
   private:
     // ---------------------------------------------------------------- membership
-    void begin() {
-        begun_ = true;
-        startedAt_ = now_;
-        sub_ = subOf(now_);
-        if (set_.subscribe) askList();
-    }
-    void askList() {
-        out_.emplace_back(Subscribe{});
-        askedAt_ = now_;
-        askPending_ = true;
-    }
     // Ask sites: again after a failure, or when an answer stays out, spaced and jittered so that hosts
     // which failed together don't ask together.
     void followList() {
-        if (!set_.subscribe) return;
-        if (askPending_ && now_ >= askedAt_ + 4000) askAt_ = std::min(askAt_, now_);
         if (now_ >= askAt_) {
-            askAt_ = 1e18;
-            askList();
+            out_.emplace_back(Subscribe{});
+            askAt_ = now_ + kListAnswerMs;
         }
-        wake(askPending_ ? askedAt_ + 4000 : askAt_);
+        wake(askAt_);
     }
     void on(const ListUpdate& update) {
         if (update.form == ListForm::Failed) {
-            askPending_ = false;
-            askAt_ = std::min(askAt_, now_ + 700 + 1000 * uniform());
+            askAt_ = std::min(askAt_, now_ + kListAgainMs * (1 + kListJitter * uniform()));
             return;
         }
-        if (update.form != ListForm::Cached) askPending_ = false;
+        if (update.form != ListForm::Cached) askAt_ = 1e18;
         std::set<std::string> named;
         for (const auto& entry : update.entries) {
             auto& n = nodes_[entry.node];
+            if (n.id.empty()) n.window = kWindowStart;
             n.id = entry.node;
             n.zone = entry.zone;
             n.shard = entry.shard;
@@ -209,9 +96,14 @@
         if (update.form != ListForm::Delta)
             for (auto& [id, n] : nodes_)
                 if (!named.count(id)) n.lifecycle = Lifecycle::Gone;
-        for (auto it = nodes_.begin(); it != nodes_.end();)
-            it = it->second.lifecycle == Lifecycle::Gone && it->second.inflight == 0 ? nodes_.erase(it)
-                                                                                     : std::next(it);
+        holders_.clear();
+        for (auto it = nodes_.begin(); it != nodes_.end();) {
+            auto& n = (it++)->second;
+            if (n.lifecycle == Lifecycle::Ready) {
+                auto& found = holders_[n.shard];
+                if (!found || n.coldFrom > found->coldFrom) found = &n;
+            } else if (n.lifecycle == Lifecycle::Gone && n.inflight == 0) nodes_.erase(n.id);
+        }
     }
 
     // ---------------------------------------------------------------- limit credits
@@ -223,24 +115,20 @@
         v.even = std::min(v.plan->limitBurst / b, v.even + rate / b);
         // What is lent may be spent a subperiod later while this part fills again: leave that room.
         const double room = v.hosts > 1 ? 1.5 * kSubMs / 1000 * v.plan->limit / b : 0;
-        v.lend = std::min(std::max(0.0, v.plan->limitBurst / b - room), v.lend + rate / b);
+        const double most = (1 - 2 * kStartPart) * v.plan->limitBurst / b;
+        v.lend = std::min(std::max(0.0, most - room), v.lend + rate / b);
         while (!v.gifts.empty() && v.gifts.front().first <= now_) v.gifts.pop_front();
     }
-    double guardLeft(const Volume& v) const {
-        double sum = v.even + v.lend;
-        for (const auto& g : v.gifts) sum += g.second;
-        return sum;
-    }
     bool mayDraw(Volume& v, double units) {
         if (!v.limited()) return true;
         refill(v);
-        return v.credit - v.r >= units && guardLeft(v) >= units;
+        return v.credit - v.r >= units && v.guardLeft() >= units;
     }
     void draw(Volume& v, double units) {
         if (!v.limited()) return;
         v.level -= units;
         v.r += units;
-        v.total += static_cast<std::uint64_t>(std::ceil(units));
+        v.total += std::ceil(units);
         for (auto& g : v.gifts) {
             const double take = std::min(units, g.second);
             g.second -= take;
@@ -257,55 +145,47 @@
         sub_ = sub;
         boundaryAt_ = now_;
         due_ = true;
-        for (auto& [id, v] : volumes_) v.held = 0;
-        for (const auto& [seq, q] : held_)
-            if (!q->drawn) q->volume->held += q->request.units;
+        dropIdle();
         for (auto& [id, v] : volumes_) {
+            v.held = 0;
             if (!v.limited()) continue;
             refill(v);
             v.credit = std::max(0.0, v.credit - v.r);
             v.rLast = v.r;
             v.r = 0;
         }
+        for (const auto& [seq, q] : held_)
+            if (q->volume && !q->drawn) q->volume->held += q->request.units;
         report();
     }
-    double peerWait() const { return std::min(kMostPeerWaitMs, 2 * peerDelay_); }
+    // Not heard of this subperiod though it was busy in the last.
+    bool silent(const PeerView& view) const { return view.sub != sub_ && view.r + view.held > 0; }
     void settleCredits() {
         if (!due_) return;
-        bool all = set_.hosts == 1;
-        int heard = 0;
-        for (const auto& [rank, p] : peers_) heard += p.complete && p.sub == sub_;
-        all = all || heard >= set_.hosts - 1;
-        if (!all && now_ < boundaryAt_ + peerWait()) {
-            wake(boundaryAt_ + peerWait());
-            return;
-        }
+        bool all = true;
+        for (const auto& [id, v] : volumes_)
+            for (const auto& [rank, view] : v.peers) all = all && !silent(view);
+        const double until = boundaryAt_ + std::min(kMostPeerWaitMs, 2 * peerDelay_);
+        if (!all && now_ < until) return wake(until);
         due_ = false;
         for (auto& [id, v] : volumes_)
             if (v.limited()) split(v);
     }
-    bool reported(int rank) const {
-        const auto p = peers_.find(rank);
-        return p != peers_.end() && p->second.complete && p->second.sub == sub_;
-    }
-    // The design's split: half of the rebuilt level evenly, half by w = Q + r, both floored.
+    // The design's split: half of the rebuilt level evenly, half by w = Q + r, both floored. Hosts that have
+    // not made themselves known count as silent for a period, and as idle after it.
     void split(Volume& v) {
         refill(v);
         const double b = v.hosts, w = v.held + v.rLast;
         double d = std::max(0.0, v.level + v.r), sum = w;
-        int known = 0, silent = 0;
-        for (auto& [rank, view] : v.peers) {
-            ++known;
-            if (!reported(rank)) ++silent;
-            else if (view.sub == sub_) sum += view.r + view.held;
-        }
-        int unknownSilent = 0;
-        for (int rank = 0; rank < set_.hosts; ++rank)
-            if (rank != set_.rank && !v.peers.count(rank) && !reported(rank)) ++unknownSilent;
-        silent += std::min(std::max(0, v.hosts - 1 - known), unknownSilent);
+        int quiet = 0;
+        for (auto& [rank, view] : v.peers)
+            if (silent(view)) ++quiet;
+            else sum += view.r + view.held;
+        if (now_ < v.announcedAt + kPeriodMs)
+            quiet += std::max(0, v.hosts - 1 - static_cast<int>(v.peers.size()));
         const double part = std::floor(d / b);
-        d = std::max(0.0, d - silent * part);
-        sum += silent * part;
+        d = std::max(0.0, d - quiet * part);
+        sum += quiet * part;
         if (v.first || sum <= 0) v.credit = std::floor(d / b);
         else v.credit = std::floor(d / (2 * b)) + std::floor(d * w / (2 * sum));
         v.first = false;
@@ -313,38 +193,31 @@
 
     // ---------------------------------------------------------------- node windows
     Node* holder(int shard) {
-        Node* found = nullptr;
-        for (auto& [id, n] : nodes_)
-            if (n.shard == shard && n.lifecycle == Lifecycle::Ready)
-                if (!found || n.coldFrom > found->coldFrom) found = &n;
-        return found;
+        const auto found = holders_.find(shard);
+        return found == holders_.end() ? nullptr : found->second;
     }
     bool cold(const Node& n) const { return n.suspect || now_ < n.coldFrom + set_.coldMs; }
     // No verdict while something has been out for far longer than usual: a hang, a dead machine, a long
     // pause or a very heavy request all look like this from here.
     bool silent(const Node& n) const {
-        if (n.outSince.empty()) return false;
-        const double since = now_ - std::max(*n.outSince.begin(), n.lastVerdict);
-        return since > std::max(600.0, 8 * n.perUnit * set_.meanUnits);
+        return now_ - n.unansweredFrom > std::max(600.0, 8 * n.perUnit * set_.meanUnits);
     }
     bool hasRoom(Node& n, double units) {
         if (n.lifecycle != Lifecycle::Ready || now_ < n.notBefore) return false;
-        if (silent(n)) return n.inflight < n.window && now_ >= n.lastSend + kCanaryMs;
+        const double part = partOf(n.shard);
+        if (silent(n) || (part <= 0 && !cold(n)))
+            return n.inflight < (part > 0 ? n.window : kWindowLeast) && now_ >= n.lastSend + kCanaryMs;
         if (cold(n)) {
             // What all hosts may send in any case grows with the capacity that the rules promise at this
             // age; own completions add less than they were, for repeats and writes cost less than counted.
-            const double age = n.suspect ? 0 : std::clamp((now_ - n.coldFrom) / set_.coldMs, 0.0, 1.0);
+            const double age = n.suspect ? 0 : std::min(1.0, (now_ - n.coldFrom) / set_.coldMs);
             const double grown = 1 + age * (1 / std::max(set_.coldShare, 0.01) - 1);
-            if (n.inflight >= std::max(1.0, std::floor(age * n.window))) return false;
-            const auto within = [this](std::deque<std::pair<double, double>>& log) {
-                while (!log.empty() && log.front().first <= now_ - set_.fallMs) log.pop_front();
-                double sum = 0;
-                for (const auto& e : log) sum += e.second;
-                return sum;
-            };
-            return within(n.coldSent) + units <=
-                   grown * set_.coldUnits / set_.hosts +
-                       (1 - 1 / std::max(1.0, set_.tipMultiple)) * within(n.coldDone);
+            // A keeper started just now may have sent before its start what still counts.
+            const bool unsure = shared_ && now_ < startedAt_ + set_.fallMs;
+            if (unsure || n.inflight >= std::max(1.0, std::floor(age * n.window))) return false;
+            const double from = now_ - set_.fallMs, beyond = 1 - 1 / std::max(1.0, set_.tipMultiple);
+            return n.coldSent.since(from) + units <=
+                   grown * set_.coldUnits * part + beyond * n.coldDone.since(from);
         }
         return n.inflight < std::floor(n.window);
     }
@@ -368,50 +241,50 @@
 
     // ---------------------------------------------------------------- held queues and ordering
     void on(const Request& request) {
-        const RequestClass* kind = nullptr;
-        const Plan* plan = nullptr;
-        for (const auto& c : set_.classes)
-            if (c.name == request.requestClass) kind = &c;
-        for (const auto& p : set_.plans)
-            if (p.name == request.plan) plan = &p;
-        takenAt_.push_back(now_);
-        if (!kind || !plan) {
-            out_.emplace_back(Refuse{request.id, 0});
-            return;
-        }
+        const auto* kind = named(set_.classes, request.requestClass);
+        const auto* plan = named(set_.plans, request.plan);
+        if (set_.extraSpanMs > 0) takenAt_.push_back(now_);
         if (byId_.count(request.id)) return;
+        if (!kind || !plan) return refuse(request.id);
         auto& v = volumes_[request.volume];
         if (!v.plan) {
-            v.id = request.volume;
             v.plan = plan;
             v.filledAt = startedAt_;
             v.hosts = std::max(1, request.hosts);
             if (v.limited()) {
+                v.even = kStartPart * v.plan->limitBurst / v.hosts;
                 refill(v);
                 split(v);
             }
         }
-        v.hosts = std::max(v.hosts, request.hosts);
+        v.hosts = std::max(1, request.hosts);
+        v.usedAt = now_;
+        ++v.users;
+        // Less time than this class ever came with has been spent before: a client's earlier try, or a stall
+        // of this host that kept the request waiting unseen. Its aim has been running meanwhile.
+        double& longest = longestTtl_[kind];
+        longest = std::max(longest, request.ttlMs);
+        auto& q = admit(request, *kind, *plan, kind->aimMs - (longest - request.ttlMs));
+        q.volume = &v;
+        if (ordered(q)) keys_[request.key].turn.push_back(&q);
+        noteDue(v, request.units);
+    }
+    Held& admit(const Request& request, const RequestClass& kind, const Plan& plan, double aimLeft) {
         pool_.emplace_back();
         auto& q = pool_.back();
         q.request = request;
-        q.kind = kind;
-        q.volume = &v;
+        q.kind = &kind;
+        q.plan = &plan;
+        q.goal = request.shard;
         q.seq = ++seq_;
         q.arrived = now_;
         q.deadline = now_ + request.ttlMs;
-        // Less time than this class ever came with has been spent before: a client's earlier try, or a stall
-        // of this host that kept the request waiting unseen. Its aim has been running meanwhile.
-        double& longest = longestTtl_[kind];
-        longest = std::max(longest, request.ttlMs);
-        q.aimAt = now_ + kind->aimMs - (longest - request.ttlMs);
+        q.aimAt = now_ + aimLeft;
         byId_[request.id] = std::prev(pool_.end());
-        if (kind->inOrder && request.key >= 0) keys_[request.key].turn.push_back(&q);
         deadlines_.insert({q.deadline, request.id});
-        hold(q);
-        noteDue(v, request.units);
+        held_[q.seq] = &q;
+        return q;
     }
-    void hold(Held& q) { held_[q.seq] = &q; }
 
     // What falls due to the volume for this second: the reserve's part of this host, then its share.
     void noteDue(Volume& v, double units) {
@@ -442,9 +315,9 @@
         return std::clamp(rateOf(v) / v.metered, 0.5 / v.hosts, 1.0);
     }
     double rateOf(Volume& v) {
-        v.served *= std::exp((v.servedAt - now_) / 2000);
+        v.served *= std::exp((v.servedAt - now_) / kPeriodMs);
         v.servedAt = now_;
-        return v.served / 2;
+        return v.served / (kPeriodMs / 1000);
     }
     Second* dueOf(const Held& q) {
         const auto second = static_cast<std::int64_t>(q.arrived / 1000);
@@ -452,15 +325,19 @@
             if (s.at == second) return &s;
         return nullptr;
     }
-    double worth(const Held& q, double finish) {
-        const double u = std::max(q.request.units, 1e-9), base = q.kind->points * q.volume->plan->worthFactor;
+    double worth(Held& q, double finish) {
+        const double base = q.kind->points * q.plan->worthFactor;
         if (finish > q.aimAt) return base * q.kind->lateWorth * set_.spareWorth;
-        double full = 0, fair = 0;
-        if (const auto* s = dueOf(q)) {
-            full = std::min(u, s->reserve);
-            fair = std::min(u - full, s->fair);
-        }
-        return base * (full + fair * set_.fairWorth + (u - full - fair) * set_.spareWorth) / u;
+        appraise(q);
+        return base * (q.full + q.fair * set_.fairWorth + (1 - q.full - q.fair) * set_.spareWorth);
+    }
+    // The parts of a request that are still due to its volume; of another host's, what that host said.
+    void appraise(Held& q) {
+        if (q.owner >= 0) return;
+        const double u = std::max(q.request.units, 1e-9);
+        const auto* s = dueOf(q);
+        q.full = s ? std::min(u, s->reserve) / u : 0;
+        q.fair = s ? std::min(1 - q.full, s->fair / u) : 0;
     }
     void takeDue(const Held& q) {
         auto* s = dueOf(q);
@@ -481,8 +358,9 @@
         beyond_ = 0;
         fairLearnedAt_ = now_;
     }
+    static bool ordered(const Held& q) { return q.owner < 0 && q.kind->inOrder && q.request.key >= 0; }
     bool itsTurn(const Held& q) {
-        if (!q.kind->inOrder || q.request.key < 0) return true;
+        if (!ordered(q)) return true;
         const auto& k = keys_[q.request.key];
         return k.turn.front() == &q && now_ >= k.restUntil;
     }
@@ -494,56 +372,199 @@
     }
     // A new object goes where it's likely done first, which also decides where its readers will go.
     Node* place(const Held& q) {
-        if (q.request.shard >= 0) {
-            Node* n = holder(q.request.shard);
+        if (q.goal >= 0) {
+            Node* n = holder(q.goal);
             return n && hasRoom(*n, q.request.units) ? n : nullptr;
         }
         Node* found = nullptr;
         double least = 0;
         for (auto& [id, n] : nodes_) {
             if (!mayGoTo(q, n) || silent(n) || !hasRoom(n, q.request.units)) continue;
-            const double cost =
-                std::max(n.perUnit, 1.0) * (1 + n.unitsOut + backlog_[n.shard]) * (cold(n) ? 50 : 1);
+            const double cost = timeIn(n) * (cold(n) ? 50 : 1);
             if (!found || cost < least) found = &n, least = cost;
         }
         return found;
     }
+    double timeIn(const Node& n) { return std::max(n.perUnit, 1.0) * (1 + n.unitsOut + backlog_[n.shard]); }
     void dispatch() {
-        struct Ranked {
-            double worth, aimAt;
-            std::uint64_t seq;
-            Held* q;
-        };
-        std::vector<Ranked> ranked;
+        std::vector<std::tuple<double, double, std::uint64_t, Held*>> ranked;  // worth first, then aim
         backlog_.clear();
         for (auto& [seq, q] : held_) {
-            if (q->request.shard >= 0) backlog_[q->request.shard] += q->request.units;
-            if (q->notBefore > now_) {
-                wake(q->notBefore);
-                continue;
-            }
-            if (!itsTurn(*q)) continue;
-            const Node* n = q->request.shard >= 0 ? holder(q->request.shard) : nullptr;
-            if (q->request.shard >= 0 && (!n || (!cold(*n) && n->inflight >= std::floor(n->window))))
-                continue;
+            if (q->notBefore > now_) wake(q->notBefore);
+            if (q->notBefore > now_ || !itsTurn(*q) || !decidedHere(*q)) continue;
+            if (q->goal >= 0) backlog_[q->goal] += q->request.units;
+            const Node* n = q->goal >= 0 ? holder(q->goal) : nullptr;
+            if (q->goal >= 0 && (!n || (!cold(*n) && n->inflight >= std::floor(n->window)))) continue;
             const double per = n ? n->perUnit : 0;
             double value = worth(*q, now_ + kFinishPart * per * q->request.units);
-            if (n && std::count(n->recentKeys.begin(), n->recentKeys.end(), q->request.key)) value *= 1.6;
-            ranked.push_back({value, q->aimAt, seq, q});
-        }
-        std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
-            if (a.worth != b.worth) return a.worth > b.worth;
-            return a.aimAt != b.aimAt ? a.aimAt < b.aimAt : a.seq < b.seq;
-        });
-        for (const auto& r : ranked) {
-            Held& q = *r.q;
-            if (!q.drawn && !mayDraw(*q.volume, q.request.units)) continue;
-            if (!q.sent.empty() && !extraAllowed()) continue;
-            if (Node* n = place(q)) send(q, *n);
+            if (n && std::count(n->recentKeys.begin(), n->recentKeys.end(), keyMark(*q))) value *= 1.6;
+            ranked.emplace_back(-value, q->aimAt, seq, q);
         }
+        std::sort(ranked.begin(), ranked.end());
+        for (const auto& [value, aimAt, seq, q] : ranked)
+            if (mayStart(*q))
+                if (Node* n = place(*q)) send(*q, *n);
         for (auto& [id, n] : nodes_)
-            if (n.notBefore > now_) wake(n.notBefore);
-            else if (!n.outSince.empty() || cold(n)) wake(now_ + 50);
+            if (!backlog_.count(n.shard)) continue;
+            else if (n.notBefore > now_) wake(n.notBefore);
+            else if (n.inflight > 0 || cold(n)) wake(now_ + 50);
+    }
+    bool mayStart(Held& q) {
+        if (q.owner >= 0) return true;
+        return (q.drawn || mayDraw(*q.volume, q.request.units)) && (q.sent.empty() || extraAllowed());
+    }
+    static std::int64_t keyMark(const Held& q) { return q.request.key & 0x3fff; }
+
+    // ---------------------------------------------------------------- nodes kept by one host for all
+    // Where hosts outnumber a window's places, a window at each host holds no order in the node: 200 hosts
+    // with one request out each are a queue of 200. So one host, found by the shard's number, keeps the
+    // node's window, budget while cold and order of worth for all; the others ask it for each send, and tell
+    // it the outcome. Lost messages and dead keepers: the next stand-in after a wait, then one at a time.
+    int candidate(int shard, std::size_t k) const {
+        std::uint64_t x = static_cast<std::uint64_t>(shard) * kKeeperParts.size() + k + 1;
+        x = (x ^ (x >> 31)) * 0x9e3779b97f4a7c15u;
+        return static_cast<int>((x >> 17) % static_cast<std::uint64_t>(set_.hosts));
+    }
+    int keeperOf(int shard) {
+        for (std::size_t k = 0; k < kKeeperParts.size(); ++k) {
+            const int rank = candidate(shard, k);
+            if (rank == set_.rank || now_ >= peers_[rank].deafUntil) return rank;
+        }
+        return set_.rank;
+    }
+    // The part of a node's budget while cold that this host decides about.
+    double partOf(int shard) const {
+        if (!shared_) return 1.0 / set_.hosts;
+        for (std::size_t k = 0; k < kKeeperParts.size(); ++k)
+            if (candidate(shard, k) == set_.rank) return kKeeperParts[k];
+        return 0;
+    }
+    // New objects: the least heated of three drawn at random, for hosts that all pick the best would jam it.
+    int pick(const Held& q) {
+        std::vector<const Node*> fit, chilled;
+        for (const auto& [shard, n] : holders_)
+            if (mayGoTo(q, *n)) (cold(*n) ? chilled : fit).push_back(n);
+        if (fit.empty()) fit.swap(chilled);
+        const Node* best = nullptr;
+        for (int i = 0; i < 3 && !fit.empty(); ++i) {
+            const Node* n = fit[static_cast<std::size_t>(uniform() * static_cast<double>(fit.size()))];
+            if (!best || n->heat < best->heat) best = n;
+        }
+        return best ? best->shard : -1;
+    }
+    // Whether this host decides about a request; where it doesn't, sees that the keeper was asked.
+    bool decidedHere(Held& q) {
+        if (!shared_ || q.owner >= 0) return true;
+        if (q.keeper < 0 || now_ >= q.askDue) {
+            if (q.keeper >= 0 && !q.acked) peers_[q.keeper].deafUntil = now_ + kDeafMs;
+            q.keeper = -1;
+            if (!mayStart(q)) return false;
+            if (q.request.shard < 0) q.goal = pick(q);
+            const Node* n = holder(q.goal);
+            if (!n) return false;
+            q.keeper = keeperOf(q.goal);
+            q.acked = q.keeper == set_.rank;
+            q.askedAt = now_;
+            q.askDue = now_ + (q.acked ? kAskAgainMs : askWait_);
+            if (!q.acked) putAsk(q, *n);
+        }
+        wake(q.askDue);
+        return q.keeper == set_.rank;
+    }
+    void putAsk(Held& q, const Node& n) {
+        appraise(q);
+        Note ask{NoteKind::Ask, q.seq, q.goal};
+        ask.requestClass = static_cast<std::size_t>(q.kind - set_.classes.data());
+        ask.plan = static_cast<std::size_t>(q.plan - set_.plans.data());
+        ask.full = q.full, ask.fair = q.fair, ask.units = q.request.units;
+        ask.aimMs = q.aimAt - now_, ask.ttlMs = q.deadline - now_;
+        ask.key = keyMark(q);
+        if (cold(n)) ask.coldAgeMs = std::min(now_ - n.coldFrom, set_.coldMs);
+        notes_[q.keeper].push_back(ask);
+    }
+    static std::string askId(int from, std::uint64_t seq) {
+        return "@" + std::to_string(from) + ":" + std::to_string(seq);
+    }
+    void take(int from, const Note& a) {
+        const auto id = askId(from, a.seq);
+        if (Node* n = holder(a.shard); n && a.coldAgeMs >= 0)
+            n->coldFrom = std::max(n->coldFrom, now_ - a.coldAgeMs);
+        newAsks_.push_back(id);
+        if (byId_.count(id)) return;
+        auto& q = admit({id, "", "", a.key, 0, a.ttlMs, a.units, a.shard, 1}, set_.classes[a.requestClass],
+                        set_.plans[a.plan], a.aimMs);
+        q.full = a.full;
+        q.fair = std::min(1 - a.full, a.fair);
+        q.owner = from;
+        q.ownerSeq = a.seq;
+    }
+    void granted(int from, std::uint64_t seq) {
+        const auto found = held_.find(seq);
+        Held* q = found == held_.end() ? nullptr : found->second;
+        Node* n = q ? holder(q->goal) : nullptr;
+        if (n && q->keeper == from && itsTurn(*q) && mayStart(*q) && n->inflight < kWindowMost) {
+            heardKeeper(*q);
+            send(*q, *n);
+            q->sent.back().lease = from;
+            return;
+        }
+        if (q && q->keeper == from) q->notBefore = now_ + kRetryMs, q->keeper = -1;
+        notes_[from].push_back({NoteKind::Done, seq, -1, static_cast<int>(Outcome::NotSent)});
+    }
+    void heardKeeper(Held& q) {
+        if (!q.acked)
+            askWait_ +=
+                0.2 * (std::clamp(3 * (now_ - q.askedAt), kAskWaitLeastMs, kAskWaitMostMs) - askWait_);
+        q.acked = true;
+        q.askDue = now_ + kAskAgainMs;
+    }
+    // A keeper tells all when the time in its node has changed much, for those who place new objects.
+    void tellHeat() {
+        if (!shared_) return;
+        for (auto& [shard, n] : holders_) {
+            if (candidate(shard, 0) != set_.rank || now_ < n->heatToldAt + kHeatMs) continue;
+            n->heat = silent(*n) ? kHeatMost
+                                 : std::min(kHeatMost - 1, std::round(kHeatStep * std::log2(1 + timeIn(*n))));
+            if (std::abs(n->heat - n->heatTold) < kHeatStep) continue;
+            n->heatTold = n->heat;
+            n->heatToldAt = now_;
+            notes_[-1].push_back({NoteKind::Heat, 0, shard, 0, 0, n->heat});
+        }
+    }
+    void flushNotes() {
+        for (const auto& id : newAsks_)
+            if (const auto found = byId_.find(id); found != byId_.end() && found->second->open == 0)
+                notes_[found->second->owner].push_back({NoteKind::Ack, found->second->ownerSeq});
+        newAsks_.clear();
+        for (const auto& [rank, notes] : notes_) tell(rank, pack(notes));
+        notes_.clear();
+    }
+    void tell(int rank, const std::vector<std::string>& messages) {
+        for (const auto& bytes : messages) out_.emplace_back(TellPeers{rank, bytes});
+    }
+    bool inRange(const Note& n) const {
+        return n.requestClass < set_.classes.size() && n.plan < set_.plans.size() &&
+               n.units <= set_.topUnits && n.ttlMs <= 2 * set_.classes[n.requestClass].deadlineMs &&
+               n.aimMs <= n.ttlMs + set_.coldMs && n.coldAgeMs <= set_.coldMs &&
+               n.outcome <= static_cast<int>(Outcome::NotSent) && n.heat <= kHeatMost;
+    }
+    void onNotes(int from, const std::vector<Note>& notes) {
+        for (const auto& n : notes)
+            if (!inRange(n)) return;
+        peers_[from].deafUntil = -1e18;
+        for (const auto& n : notes) {
+            const auto found = held_.find(n.seq);
+            if (n.kind == NoteKind::Ask) take(from, n);
+            else if (n.kind == NoteKind::Grant) granted(from, n.seq);
+            else if (n.kind == NoteKind::Done)
+                release(askId(from, n.seq), static_cast<Outcome>(n.outcome), n.tookMs);
+            else if (n.kind == NoteKind::Ack && found != held_.end() && found->second->keeper == from)
+                heardKeeper(*found->second);
+            else if (Node* node = n.kind == NoteKind::Heat ? holder(n.shard) : nullptr) node->heat = n.heat;
+        }
+    }
+    void release(const std::string& id, Outcome outcome, double tookMs) {
+        on(Verdict{id, "", outcome, 0, tookMs, true, 0, 0});
     }
 
     // ---------------------------------------------------------------- attempts and answers
@@ -560,28 +581,32 @@
         // cover hangs, dead machines and cut links; wastes one attempt where the node was only slow.
         const bool trial = q.kind->effect == Effect::Repeatable && silent(n);
         const double expireAt = trial ? std::min(q.deadline, now_ + 2 * kCanaryMs) : q.deadline;
-        if (!q.drawn) draw(*q.volume, q.request.units);
-        q.drawn = true;
-        if (!q.sent.empty()) extraAt_.push_back(now_);
-        takeDue(q);
+        if (q.owner < 0) {
+            if (!q.drawn) draw(*q.volume, q.request.units);
+            q.drawn = true;
+            if (!q.sent.empty() && set_.extraSpanMs > 0) extraAt_.push_back(now_);
+            takeDue(q);
+        }
         q.sent.push_back({&n, now_, true});
         ++q.open;
         ++n.inflight;
         n.unitsOut += q.request.units;
-        n.outSince.insert(now_);
+        n.unansweredFrom = std::min(n.unansweredFrom, now_);
         n.lastSend = now_;
-        n.coldSent.push_back({now_, q.request.units});
-        while (n.coldSent.size() > 400) n.coldSent.pop_front();
-        n.recentKeys.push_back(q.request.key);
-        if (n.recentKeys.size() > 2) n.recentKeys.pop_front();
+        if (cold(n)) n.coldSent.entries.push_back({now_, q.request.units});
+        n.recentKeys = {n.recentKeys[1], keyMark(q)};
         held_.erase(q.seq);
-        out_.emplace_back(Attempt{q.request.id, n.id, expireAt});
+        if (q.owner >= 0) {
+            notes_[q.owner].push_back({NoteKind::Grant, q.ownerSeq});
+            deadlines_.insert({std::min(q.deadline, now_ + kLeaseMs), q.request.id});
+        } else out_.emplace_back(Attempt{q.request.id, n.id, expireAt});
     }
     void on(const Verdict& verdict) {
         const auto found = byId_.find(verdict.id);
         if (found == byId_.end()) return;
         Held& q = *found->second;
         const auto shot = static_cast<std::size_t>(verdict.attempt);
+        if (q.owner >= 0 && q.sent.empty()) return drop(q);  // no longer wanted
         if (shot >= q.sent.size() || !q.sent[shot].open) return;
         Sent& s = q.sent[shot];
         Node& n = *s.node;
@@ -589,27 +614,27 @@
         --q.open;
         --n.inflight;
         n.unitsOut -= q.request.units;
-        n.outSince.erase(n.outSince.find(s.at));
-        const bool answered = verdict.outcome == Outcome::Served || verdict.outcome == Outcome::ServerError;
-        const bool neverRan = verdict.outcome == Outcome::TurnedAway || verdict.outcome == Outcome::NotSent ||
-                              verdict.outcome == Outcome::NoConnection;
+        if (s.lease >= 0)
+            notes_[s.lease].push_back(
+                {NoteKind::Done, q.seq, -1, static_cast<int>(verdict.outcome), verdict.tookMs});
+        const auto was = [&verdict](auto... any) { return ((verdict.outcome == any) || ...); };
+        const bool answered = was(Outcome::Served, Outcome::ServerError);
+        const bool neverRan = was(Outcome::TurnedAway, Outcome::NotSent, Outcome::NoConnection);
         const bool inDoubt = !answered && !neverRan;
-        if (answered || verdict.outcome == Outcome::TurnedAway) n.lastVerdict = now_;
-        if (verdict.outcome == Outcome::Served) {
+        if (answered || was(Outcome::TurnedAway)) n.unansweredFrom = n.inflight > 0 ? now_ : 1e18;
+        if (was(Outcome::Served)) {
             // A node that dropped connections may have come back cold before the list says so.
             if (n.suspect && s.at >= n.notBefore) {
                 n.suspect = false;
                 n.coldFrom = std::max(n.coldFrom, now_);
             }
             learn(n, verdict.tookMs, q.request.units, std::max(1.0, q.kind->aimMs), s.at);
-            n.coldDone.push_back({now_, q.request.units});
-            while (n.coldDone.size() > 400) n.coldDone.pop_front();
-            rateOf(*q.volume);
-            q.volume->served += q.request.units;
-        } else if (verdict.outcome == Outcome::TurnedAway) {
+            if (cold(n)) n.coldDone.entries.push_back({now_, q.request.units});
+            if (q.owner < 0) rateOf(*q.volume), q.volume->served += q.request.units;
+        } else if (was(Outcome::TurnedAway)) {
             n.window = std::max(kWindowLeast, n.window / 2);
             n.notBefore = std::max(n.notBefore, now_ + kRetryMs);
-        } else if (verdict.outcome == Outcome::NoConnection || verdict.outcome == Outcome::ConnectionLost) {
+        } else if (was(Outcome::NoConnection, Outcome::ConnectionLost)) {
             n.suspect = true;
             n.notBefore = now_ + kSuspectRetryMs;
         }
@@ -618,7 +643,7 @@
             q.volume->metered = q.volume->metered < 0 ? rate : 0.7 * q.volume->metered + 0.3 * rate;
             q.volume->meteredAt = now_;
         }
-        if (inDoubt && q.kind->inOrder && q.request.key >= 0) {
+        if (inDoubt && ordered(q)) {
             auto& k = keys_[q.request.key];
             k.restUntil = std::max(k.restUntil, now_ + set_.settleMs);
             wake(k.restUntil);
@@ -635,68 +660,70 @@
     }
     // After an attempt that failed: hold it again where its class and the rules allow, else answer.
     void again(Held& q, Outcome outcome) {
-        const bool timeLeft = now_ + 2 * set_.tickMs < q.deadline;
-        bool may = timeLeft && static_cast<int>(q.sent.size()) < set_.maxAttempts;
+        bool may = now_ + 2 * set_.tickMs < q.deadline && static_cast<int>(q.sent.size()) < set_.maxAttempts;
         if (q.mayHaveRun && q.kind->effect == Effect::Once) may = false;
         if (q.mayHaveRun && q.kind->effect == Effect::ByKey)
             may = may && now_ + kRetryMs < q.mayRunAt + q.kind->memorySpanMs;
-        if (!may) {
-            answer(q);
-            return;
-        }
+        if (!may) return answer(q);
         q.notBefore = now_ + (outcome == Outcome::TurnedAway ? kRetryMs : 0);
-        hold(q);
+        q.keeper = -1;
+        held_[q.seq] = &q;
     }
     void answer(Held& q) {
         const bool harmless = q.kind->effect == Effect::Repeatable || (!q.mayHaveRun && q.open == 0) ||
                               (q.kind->effect == Effect::ByKey && q.kind->group == Group::All);
-        if (harmless) out_.emplace_back(Refuse{q.request.id, 0});
+        if (harmless) refuse(q.request.id);
         else out_.emplace_back(Fail{q.request.id});
         q.ended = true;
         held_.erase(q.seq);
     }
+    void refuse(const std::string& id) { out_.emplace_back(Refuse{id, 0}); }
     void forget(Held& q) {
         if (!q.ended || q.open > 0) return;
-        if (q.kind->inOrder && q.request.key >= 0) {
-            auto& k = keys_[q.request.key];
-            k.turn.erase(std::remove(k.turn.begin(), k.turn.end(), &q), k.turn.end());
-            if (k.turn.empty() && k.restUntil <= now_) keys_.erase(q.request.key);
+        if (ordered(q)) {
+            auto& turn = keys_[q.request.key].turn;
+            turn.remove(&q);
         }
         held_.erase(q.seq);
-        const auto found = byId_.find(q.request.id);
-        const auto at = found->second;
-        byId_.erase(found);
+        if (q.owner < 0) --q.volume->users;
+        const auto at = byId_.at(q.request.id);
+        byId_.erase(q.request.id);
         pool_.erase(at);
     }
+    void drop(Held& q) {
+        held_.erase(q.seq);
+        q.ended = true;
+        forget(q);
+    }
     void on(const ClientGone& gone) {
-        const auto found = byId_.find(gone.id);
-        if (found == byId_.end()) return;
-        found->second->ended = true;
-        held_.erase(found->second->seq);
-        forget(*found->second);
+        if (const auto found = byId_.find(gone.id); found != byId_.end()) drop(*found->second);
     }
     void on(const AnswerStarted& started) {
         const auto found = byId_.find(started.id);
         if (found != byId_.end()) found->second->started = found->second->kind->stream;
     }
-    void on(const ProbeResult&) {}
-    void on(const Wake&) {}
+    template <class Unused>
+    void on(const Unused&) {}  // wakes and probes' results
     // Held work is answered just before its client gives up, and sooner once its time to repeat is over.
     void expire() {
         std::vector<Held*> over;
         const double margin = 2 * set_.tickMs;
         for (auto& [seq, q] : held_) {
+            if (q->owner >= 0) continue;
             const bool forgotten = q->mayHaveRun && q->kind->effect == Effect::ByKey &&
                                    now_ + margin >= q->mayRunAt + q->kind->memorySpanMs;
             if (now_ + margin >= q->deadline || forgotten) over.push_back(q);
             else wake(q->deadline - margin);
         }
-        // An attempt whose outcome stays out past the client's time: the answer is owed all the same.
+        // An attempt whose outcome stays out past the client's time: the answer is owed all the same. Another
+        // host's: its place in the node is taken back, for its owner may be dead or its word lost.
         while (!deadlines_.empty() && deadlines_.begin()->first <= now_) {
             const auto found = byId_.find(deadlines_.begin()->second);
             deadlines_.erase(deadlines_.begin());
-            if (found != byId_.end() && !found->second->started && !held_.count(found->second->seq))
-                over.push_back(&*found->second);
+            if (found == byId_.end()) continue;
+            Held& q = *found->second;
+            if (q.owner >= 0) release(q.request.id, Outcome::NoAnswer, 0);
+            else if (!q.started && !held_.count(q.seq)) over.push_back(&q);
         }
         if (!deadlines_.empty()) wake(deadlines_.begin()->first);
         for (auto* q : over) {
@@ -706,117 +733,90 @@
     }
 
     // ---------------------------------------------------------------- peer reports
+    // To hosts known to share a volume, and only what changed; to all at first sight of a volume.
     void report() {
         if (!set_.mayTellPeers || set_.hosts == 1) return;
-        std::vector<std::string> entries;
+        std::map<int, Report> reports;
         for (auto& [id, v] : volumes_) {
             if (!v.limited() || v.hosts < 2) continue;
-            double sum = v.held + v.rLast;
-            std::vector<std::pair<int, double>> want;
+            const double mine = v.held + v.rLast;
+            double sum = mine;
             for (auto& [rank, view] : v.peers)
-                if (view.sub + 1 >= sub_ && view.r + view.held > 0)
-                    want.push_back({rank, view.r + view.held});
-            for (const auto& w : want) sum += w.second;
-            v.quiet = v.held + v.rLast > 0 ? 0 : v.quiet + 1;
-            if (v.quiet > 2 && want.empty()) continue;
-            std::string e;
-            putVarint(e, static_cast<std::uint64_t>(id));
-            putVarint(e, static_cast<std::uint64_t>(std::lround(v.rLast)));
-            putVarint(e, static_cast<std::uint64_t>(std::lround(v.held)));
-            putVarint(e, v.total);
+                if (view.sub + 1 >= sub_) sum += view.r + view.held;
+            CreditFigures mineNow{id, v.rLast, v.held, v.total, 0};
+            const bool changed = mine > 0 || v.busy;
+            v.busy = mine > 0;
+            const bool announce = v.announcedAt > now_;
+            if (announce) reports[-1].figures.push_back(mineNow);
+            v.announcedAt = std::min(v.announcedAt, now_);
             const double lend = v.lend;
-            putVarint(e, want.size());
-            for (const auto& [rank, w] : want) {
-                const auto tenths = static_cast<std::uint64_t>(std::floor(10 * lend * w / sum));
-                v.lend -= static_cast<double>(tenths) / 10;
-                putVarint(e, static_cast<std::uint64_t>(rank));
-                putVarint(e, tenths);
+            for (auto& [rank, view] : v.peers) {
+                const double w = view.sub + 1 >= sub_ ? view.r + view.held : 0;
+                const double gift = w > 0 ? std::floor(10 * lend * w / sum) / 10 : 0;
+                if ((announce || !changed) && !view.greet && gift <= 0) continue;
+                view.greet = false;
+                v.lend -= gift;
+                mineNow.gift = gift;
+                reports[rank].figures.push_back(mineNow);
             }
-            entries.push_back(std::move(e));
-        }
-        std::vector<std::string> bodies(1);
-        for (const auto& e : entries) {
-            if (bodies.back().size() + e.size() > kMessageMost - 20) bodies.emplace_back();
-            bodies.back() += e;
         }
-        for (std::size_t part = 0; part < bodies.size() && part < 64; ++part) {
-            std::string bytes(1, static_cast<char>(kVersion));
-            putVarint(bytes, incarnation_);
-            putVarint(bytes, sub_);
-            putVarint(bytes, part);
-            putVarint(bytes, std::min<std::size_t>(bodies.size(), 64));
-            out_.emplace_back(TellPeers{-1, bytes + bodies[part]});
+        for (auto& [rank, r] : reports) {
+            r.incarnation = incarnation_;
+            r.subperiod = sub_;
+            tell(rank, pack(r));
         }
     }
     // Peer bytes are untrusted: all of a message is read and checked before any of it counts.
     void on(const PeerMessage& message) {
         if (message.from < 0 || message.from >= set_.hosts || message.from == set_.rank) return;
-        if (message.bytes.size() > kMessageMost) return;
-        Reader in{message.bytes};
-        if (in.byte() != kVersion) return;
-        const auto incarnation = in.varint(), sub = in.varint(), part = in.varint(), parts = in.varint();
-        if (!in.good || parts < 1 || parts > 64 || part >= parts || incarnation > 0xffffffffu) return;
-        struct Entry {
-            std::uint64_t id, r, held, total;
-            double gift;
-        };
-        std::vector<Entry> entries;
-        while (in.good && in.at < message.bytes.size()) {
-            Entry e{in.varint(), in.varint(), in.varint(), in.varint(), 0};
-            const auto gifts = in.varint();
-            if (gifts > static_cast<std::uint64_t>(set_.hosts)) return;
-            for (std::uint64_t i = 0; i < gifts; ++i) {
-                const auto rank = in.varint(), tenths = in.varint();
-                if (rank == static_cast<std::uint64_t>(set_.rank)) e.gift = static_cast<double>(tenths) / 10;
-            }
-            if (e.r > 1000000 || e.held > 10000000) return;
-            entries.push_back(e);
-        }
-        if (!in.good) return;
+        if (const auto notes = shared_ ? readNotes(message.bytes) : std::nullopt)
+            onNotes(message.from, *notes);
+        const auto report = readReport(message.bytes);
+        if (!report || report->subperiod > sub_ + 2) return;
+        const auto [incarnation, sub, figures] = *report;
         auto& p = peers_[message.from];
-        const bool fresh = !p.known || p.incarnation != incarnation;
-        if (fresh && p.known && incarnation == p.previous) return;
-        if (fresh) {
-            const auto previous = p.incarnation;
-            p = Peer{};
-            p.known = true;
-            p.incarnation = static_cast<std::uint32_t>(incarnation);
-            p.previous = previous;
-        } else if (sub < p.sub || (sub == p.sub && (p.parts >> part & 1))) {
-            return;
-        }
         const double offset = now_ - static_cast<double>(sub) * kSubMs;
-        const bool late = fresh || offset > p.leastOffset + kGiftLateMs;
+        const bool late = offset > p.leastOffset + kGiftLateMs || p.leastOffset > 1e17;
         p.leastOffset = std::min(p.leastOffset, offset);
-        p.heardAt = now_;
-        if (fresh || sub != p.sub) p.parts = 0;
-        p.sub = sub;
-        p.parts |= std::uint64_t{1} << part;
-        p.partCount = static_cast<int>(parts);
-        p.complete = static_cast<std::uint64_t>(__builtin_popcountll(p.parts)) == parts;
-        if (p.complete && sub == sub_) {
+        if (sub == sub_) {
             const double delay = std::clamp(now_ - boundaryAt_, set_.tickMs, kMostPeerWaitMs);
-            peerDelay_ += 0.2 * (delay - peerDelay_);
+            peerDelay_ += 0.05 * (delay - peerDelay_);
         }
-        for (const auto& e : entries) {
-            const auto found = volumes_.find(static_cast<std::int64_t>(e.id));
+        for (const auto& e : figures) {
+            const auto found = volumes_.find(e.volume);
             if (found == volumes_.end() || !found->second.limited()) continue;
             auto& v = found->second;
+            const auto known = v.peers.find(message.from);
+            if (known == v.peers.end() && static_cast<int>(v.peers.size()) + 1 >= v.hosts) continue;
             auto& view = v.peers[message.from];
+            const bool anew = known == v.peers.end() || view.incarnation != incarnation;
+            if (anew ? view.heardAt > 0 && view.previous == incarnation : sub <= view.sub) continue;
             refill(v);
             // The running total heals what lost messages said; a new incarnation starts a new one.
-            const bool anew = fresh || !view.known;
-            const double spent = anew ? static_cast<double>(e.r)
-                                      : static_cast<double>(e.total - std::min(e.total, view.total));
+            const double spent = anew ? e.r : std::max(0.0, e.total - view.total);
             v.level = std::max(v.level - spent, -v.plan->limitBurst);
-            view = {sub, e.total, static_cast<double>(e.r), static_cast<double>(e.held), true};
+            if (anew) view.previous = view.incarnation, view.incarnation = incarnation, view.greet = true;
+            view.sub = sub;
+            view.total = e.total;
+            view.r = e.r;
+            view.held = e.held;
+            view.heardAt = now_;
             if (!late && e.gift > 0 && e.gift <= v.plan->limitBurst)
                 v.gifts.push_back({now_ + kSubMs, e.gift});
         }
-        if (fresh)
-            for (auto& [id, v] : volumes_)
-                if (const auto it = v.peers.find(message.from); it != v.peers.end() && it->second.sub != sub)
-                    it->second.known = false;
+    }
+    // Memory stays bounded: what idles for long is dropped, once its parts are surely full again.
+    void dropIdle() {
+        for (auto it = volumes_.begin(); it != volumes_.end();) {
+            auto& v = it->second;
+            const double full = v.limited() ? 2000 * v.plan->limitBurst / v.plan->limit : 0;
+            for (auto p = v.peers.begin(); p != v.peers.end();)
+                p = now_ > p->second.heardAt + kForgetMs ? v.peers.erase(p) : std::next(p);
+            it = v.users == 0 && now_ > v.usedAt + std::max(kForgetMs, full) ? volumes_.erase(it)
+                                                                             : std::next(it);
+        }
+        for (auto it = keys_.begin(); it != keys_.end();)
+            it = it->second.turn.empty() && it->second.restUntil <= now_ ? keys_.erase(it) : std::next(it);
     }
 
     // ---------------------------------------------------------------- timers
@@ -834,12 +834,15 @@
     Settings set_;
     std::mt19937_64 random_;
     std::vector<Action> out_;
-    double now_ = 0, startedAt_ = 0, nextWake_ = 1e18, armedAt_ = -1e18;
-    bool begun_ = false, askPending_ = false, due_ = false;
-    double askedAt_ = -1e18, askAt_ = 1e18, boundaryAt_ = 0, peerDelay_ = kFirstPeerWaitMs / 2;
+    double now_ = 0, startedAt_ = -1, nextWake_ = 1e18, armedAt_ = -1e18;
+    bool due_ = false, shared_ = false;
+    double askAt_ = 1e18, askWait_ = kAskWaitMs, boundaryAt_ = 0, peerDelay_ = kFirstPeerWaitMs / 2;
     double fairPerWeight_ = 0, beyond_ = 0, fairLearnedAt_ = 0;
     std::uint64_t sub_ = 0, seq_ = 0;
     std::uint32_t incarnation_ = 0;
+    std::map<int, Node*> holders_;
+    std::map<int, std::vector<Note>> notes_;
+    std::vector<std::string> newAsks_;
     std::map<std::string, Node> nodes_;
     std::map<std::int64_t, Volume> volumes_;
     std::map<int, Peer> peers_;
--- /dev/null
+++ b/src/state.hpp
@@ -0,0 +1,117 @@
+// What a host keeps of nodes, volumes, requests and peers. Plain state: every decision is in policy.cpp.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "spokewheel/scheduler.hpp"
+
+namespace spokewheel {
+
+// Units by time, forgotten once older than the span asked for.
+struct UnitLog {
+    std::deque<std::pair<double, double>> entries;
+    double since(double from) {
+        while (!entries.empty() && entries.front().first <= from) entries.pop_front();
+        double sum = 0;
+        for (const auto& e : entries) sum += e.second;
+        return sum;
+    }
+};
+
+struct Node {
+    std::string id, zone;
+    int shard = -1;
+    Lifecycle lifecycle = Lifecycle::Ready;
+    double coldFrom = -1e18, notBefore = 0, unansweredFrom = 1e18, lastSend = -1e18, narrowedAt = -1e18;
+    double window = 0, best = 0, perUnit = 0, ofAim = 0;
+    bool suspect = false;
+    int inflight = 0, samples = 0;
+    double unitsOut = 0, heat = 0, heatTold = 0, heatToldAt = -1e18;
+    UnitLog coldSent, coldDone;
+    std::array<std::int64_t, 2> recentKeys = {-1, -1};
+};
+
+struct PeerView {
+    std::uint32_t incarnation = 0, previous = 0;
+    std::uint64_t sub = 0;  // the sender's subperiod of the last entry
+    double total = 0, r = 0, held = 0, heardAt = 0;
+    bool greet = true;  // it is owed word that this host shares the volume
+};
+
+template <class T>
+const T* named(const std::vector<T>& list, const std::string& name) {
+    for (const auto& one : list)
+        if (one.name == name) return &one;
+    return nullptr;
+}
+
+struct Second {
+    std::int64_t at;
+    double reserve, fair;
+};
+
+struct Volume {
+    const Plan* plan = nullptr;
+    int hosts = 1;
+    // The rebuilt store (D), this host's figures of the subperiod, and the guard's own parts.
+    double level = 0, filledAt = 0, credit = 0, r = 0, rLast = 0, held = 0;
+    bool first = true, busy = false;  // busy: told r or Q above zero last
+    int users = 0;
+    double total = 0, usedAt = 0, announcedAt = 1e18;
+    double even = 0, lend = 0;
+    std::deque<std::pair<double, double>> gifts;  // expiry, units
+    std::map<int, PeerView> peers;
+    std::deque<Second> seconds;
+    double reserveStore = -1, reserveAt = 0, beyondAt = -1e18, fairStore = 0, fairAt = 0;
+    double served = 0, servedAt = 0, metered = -1, meteredAt = -1e18;
+    bool limited() const { return plan->limit > 0; }
+    double guardLeft() const {
+        double sum = even + lend;
+        for (const auto& g : gifts) sum += g.second;
+        return sum;
+    }
+};
+
+struct Sent {
+    Node* node;
+    double at;
+    bool open;
+    int lease = -1;  // the keeper that granted it
+};
+
+struct Held {
+    Request request;
+    const RequestClass* kind = nullptr;
+    Volume* volume = nullptr;
+    std::uint64_t seq = 0;
+    double arrived = 0, deadline = 0, aimAt = 0, notBefore = 0, mayRunAt = 0;
+    std::vector<Sent> sent;
+    int open = 0;
+    int boundShard = -1, goal = -1;  // goal: the shard it is asked for
+    // Asked of a keeper; and, at the keeper, whose it is and what was said of its due.
+    int keeper = -1, owner = -1;
+    std::uint64_t ownerSeq = 0;
+    const Plan* plan = nullptr;
+    double askedAt = 0, askDue = 0, full = 0, fair = 0;
+    bool acked = false;
+    std::string boundZone;
+    bool mayHaveRun = false, ended = false, drawn = false, started = false;
+};
+
+struct KeyTurn {
+    std::list<Held*> turn;
+    double restUntil = -1e18;
+};
+
+struct Peer {
+    double leastOffset = 1e18, deafUntil = -1e18;
+};
+
+}  // namespace spokewheel
