--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -81,6 +81,13 @@
     return out.bytes;
 }
 
+bool inRange(const Note& n, const Settings& s) {
+    constexpr double kHeatMost = 255;
+    return n.requestClass < s.classes.size() && n.plan < s.plans.size() && n.units <= s.topUnits &&
+           n.ttlMs <= 2 * s.classes[n.requestClass].deadlineMs && n.aimMs <= n.ttlMs + s.coldMs &&
+           n.coldAgeMs <= s.coldMs && n.outcome <= static_cast<int>(Outcome::NotSent) && n.heat <= kHeatMost;
+}
+
 }  // namespace
 
 std::vector<std::string> pack(const Report& report) {
@@ -121,7 +128,7 @@
     return report;
 }
 
-std::optional<std::vector<Note>> readNotes(const std::string& bytes) {
+std::optional<std::vector<Note>> readNotes(const std::string& bytes, const Settings& settings) {
     Reader in(bytes);
     if (bytes.size() > kMost || in.byte() != kNotes) return std::nullopt;
     std::vector<Note> notes;
@@ -152,6 +159,7 @@
             n.shard = static_cast<int>(in.number());
             n.heat = in.number();
         }
+        if (!inRange(n, settings)) return std::nullopt;
         notes.push_back(n);
     }
     if (!in.good) return std::nullopt;
--- a/src/peer_messages.hpp
+++ b/src/peer_messages.hpp
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "spokewheel/scheduler.hpp"
+
 namespace spokewheel {
 
 // What a host reports of one volume: r, Q, the running total of units first-sent, and what it lends to the
@@ -39,6 +41,7 @@
 std::vector<std::string> pack(const Report& report);
 std::vector<std::string> pack(const std::vector<Note>& notes);
 std::optional<Report> readReport(const std::string& bytes);
-std::optional<std::vector<Note>> readNotes(const std::string& bytes);
+// Nothing where a figure is outside what the settings allow.
+std::optional<std::vector<Note>> readNotes(const std::string& bytes, const Settings& settings);
 
 }  // namespace spokewheel
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -22,6 +22,7 @@
 constexpr double kWindowStart = 4, kWindowMost = 24, kWindowLeast = 1;
 constexpr double kNarrow = 2.0, kWidenAt = 0.75, kBestDrift = 1.001;  // against the recent best
 constexpr double kAimPart = 0.3, kFinishPart = 0.5, kFairStep = 0.3, kMeterStep = 0.3;
+constexpr double kSeekGain = 1.6;  // a node does a repeat of what it just took for about half the work
 constexpr double kRetryMs = 40, kSuspectRetryMs = 300, kCanaryMs = 500;
 constexpr double kGiftLateMs = 100;  // a gift this much later than its sender's best is dropped
 constexpr double kListAnswerMs = 4000, kListAgainMs = 700, kListJitter = 1.5;  // of asking for the list
@@ -159,7 +160,7 @@
             v.r = 0;
         }
         for (const auto& [seq, q] : held_)
-            if (q->volume && !q->drawn) q->volume->held += q->request.units;
+            if (!q->drawn) q->volume->held += q->request.units;
         report();
     }
     // Not heard of this subperiod though it was busy in the last.
@@ -247,7 +248,7 @@
     void on(const Request& request) {
         const auto* kind = named(set_.classes, request.requestClass);
         const auto* plan = named(set_.plans, request.plan);
-        if (set_.extraSpanMs > 0) takenAt_.push_back(now_);
+        if (set_.extraSpanMs > 0) taken_.entries.push_back({now_, 1});
         if (byId_.count(request.id)) return;
         if (!kind || !plan) return refuse(request.id);
         // Two volumes of a plan whose numbers end alike share one store, which holds the limit all the same.
@@ -272,9 +273,11 @@
         longest = std::max(longest, request.ttlMs);
         auto& q = admit(request, *kind, *plan, kind->aimMs - (longest - request.ttlMs));
         q.volume = &v;
+        held_[q.seq] = &q;
         if (q.ordered()) keys_[request.key].turn.push_back(&q);
         noteDue(v, request.units);
     }
+    void unhold(Held& q) { (q.owner < 0 ? held_ : asks_[q.goal]).erase(q.seq); }
     Held& admit(const Request& request, const RequestClass& kind, const Plan& plan, double aimLeft) {
         pool_.emplace_back();
         auto& q = pool_.back();
@@ -288,7 +291,6 @@
         q.aimAt = now_ + aimLeft;
         byId_[request.id] = std::prev(pool_.end());
         deadlines_.insert({q.deadline, request.id});
-        held_[q.seq] = &q;
         return q;
     }
 
@@ -390,19 +392,27 @@
         return found;
     }
     double timeIn(const Node& n) { return std::max(n.perUnit, 1.0) * (1 + n.unitsOut + backlog_[n.shard]); }
+    bool full(const Node& n) const { return !cold(n) && n.inflight >= std::floor(n.window); }
     void dispatch() {
         std::vector<std::tuple<double, double, std::uint64_t, Held*>> ranked;  // worth first, then aim
+        const auto rank = [&](Held& q) {
+            const Node* n = q.goal >= 0 ? holder(q.goal) : nullptr;
+            if (q.goal >= 0 && (!n || full(*n))) return;
+            double value = worth(q, now_ + kFinishPart * (n ? n->perUnit : 0) * q.request.units);
+            if (n && std::count(n->recentKeys.begin(), n->recentKeys.end(), q.keyMark())) value *= kSeekGain;
+            ranked.emplace_back(-value, q.aimAt, q.seq, &q);
+        };
         backlog_.clear();
         for (auto& [seq, q] : held_) {
             if (q->notBefore > now_) wake(q->notBefore);
             if (q->notBefore > now_ || !itsTurn(*q) || !decidedHere(*q)) continue;
             if (q->goal >= 0) backlog_[q->goal] += q->request.units;
-            const Node* n = q->goal >= 0 ? holder(q->goal) : nullptr;
-            if (q->goal >= 0 && (!n || (!cold(*n) && n->inflight >= std::floor(n->window)))) continue;
-            const double per = n ? n->perUnit : 0;
-            double value = worth(*q, now_ + kFinishPart * per * q->request.units);
-            if (n && std::count(n->recentKeys.begin(), n->recentKeys.end(), q->keyMark())) value *= 1.6;
-            ranked.emplace_back(-value, q->aimAt, seq, q);
+            rank(*q);
+        }
+        for (const auto& [shard, queue] : asks_) {
+            if (!queue.empty()) backlog_[shard] += set_.meanUnits * static_cast<double>(queue.size());
+            if (const Node* n = holder(shard); !n || full(*n)) continue;
+            for (const auto& [seq, q] : queue) rank(*q);
         }
         std::sort(ranked.begin(), ranked.end());
         for (const auto& [value, aimAt, seq, q] : ranked)
@@ -499,6 +509,7 @@
         q.fair = std::min(1 - a.full, a.fair);
         q.owner = from;
         q.ownerSeq = a.seq;
+        asks_[a.shard][q.seq] = &q;
     }
     void granted(int from, std::uint64_t seq) {
         const auto found = held_.find(seq);
@@ -518,7 +529,7 @@
             askWait_ +=
                 0.2 * (std::clamp(3 * (now_ - q.askedAt), kAskWaitLeastMs, kAskWaitMostMs) - askWait_);
         q.acked = true;
-        q.askDue = now_ + kAskAgainMs;
+        q.askDue = now_ + kAskAgainMs + (now_ - q.arrived) / 2;  // ever rarer: jams make many asks
     }
     // A keeper tells all when the time in its node has changed much, for those who place new objects.
     void tellHeat() {
@@ -538,20 +549,11 @@
             if (const auto found = byId_.find(id); found != byId_.end() && found->second->open == 0)
                 notes_[found->second->owner].push_back({NoteKind::Ack, found->second->ownerSeq});
         newAsks_.clear();
-        for (const auto& [rank, notes] : notes_) tell(rank, pack(notes));
+        for (const auto& [rank, notes] : notes_)
+            for (const auto& bytes : pack(notes)) out_.emplace_back(TellPeers{rank, bytes});
         notes_.clear();
     }
-    void tell(int rank, const std::vector<std::string>& messages) {
-        for (const auto& bytes : messages) out_.emplace_back(TellPeers{rank, bytes});
-    }
-    bool inRange(const Note& n) const {
-        return n.requestClass < set_.classes.size() && n.plan < set_.plans.size() &&
-               n.units <= set_.topUnits && n.ttlMs <= 2 * set_.classes[n.requestClass].deadlineMs &&
-               n.aimMs <= n.ttlMs + set_.coldMs && n.coldAgeMs <= set_.coldMs &&
-               n.outcome <= static_cast<int>(Outcome::NotSent) && n.heat <= kHeatMost;
-    }
     void onNotes(int from, const std::vector<Note>& notes) {
-        if (!std::all_of(notes.begin(), notes.end(), [this](const Note& n) { return inRange(n); })) return;
         peers_[from].deafUntil = -1e18;
         for (const auto& n : notes) {
             const auto found = held_.find(n.seq);
@@ -569,10 +571,7 @@
     bool extraAllowed() {
         if (set_.extraSpanMs <= 0) return true;
         const double from = now_ - set_.extraSpanMs;
-        while (!takenAt_.empty() && takenAt_.front() <= from) takenAt_.pop_front();
-        while (!extraAt_.empty() && extraAt_.front() < from) extraAt_.pop_front();
-        return static_cast<double>(extraAt_.size()) + 1 <=
-               set_.extraFloor + set_.extraShare * static_cast<double>(takenAt_.size());
+        return extra_.since(from - 1) + 1 <= set_.extraFloor + set_.extraShare * taken_.since(from);
     }
     void send(Held& q, Node& n) {
         // A trial at a silent node is bounded where it may be repeated, so that it can be tried again. Should
@@ -582,7 +581,7 @@
         if (q.owner < 0) {
             if (!q.drawn) draw(*q.volume, q.request.units);
             q.drawn = true;
-            if (!q.sent.empty() && set_.extraSpanMs > 0) extraAt_.push_back(now_);
+            if (!q.sent.empty() && set_.extraSpanMs > 0) extra_.entries.push_back({now_, 1});
             takeDue(q);
         }
         q.sent.push_back({&n, now_, true});
@@ -593,7 +592,7 @@
         n.lastSend = now_;
         if (cold(n)) n.coldSent.entries.push_back({now_, q.request.units});
         n.recentKeys = {n.recentKeys[1], q.keyMark()};
-        held_.erase(q.seq);
+        unhold(q);
         if (q.owner >= 0) {
             notes_[q.owner].push_back({NoteKind::Grant, q.ownerSeq});
             deadlines_.insert({std::min(q.deadline, now_ + kLeaseMs), q.request.id});
@@ -673,7 +672,7 @@
         if (harmless) refuse(q.request.id);
         else out_.emplace_back(Fail{q.request.id});
         q.ended = true;
-        held_.erase(q.seq);
+        unhold(q);
     }
     void refuse(const std::string& id) { out_.emplace_back(Refuse{id, 0}); }
     void forget(Held& q) {
@@ -682,14 +681,14 @@
             auto& turn = keys_[q.request.key].turn;
             turn.remove(&q);
         }
-        held_.erase(q.seq);
+        unhold(q);
         if (q.owner < 0) --q.volume->users;
         const auto at = byId_.at(q.request.id);
         byId_.erase(q.request.id);
         pool_.erase(at);
     }
     void drop(Held& q) {
-        held_.erase(q.seq);
+        unhold(q);
         q.ended = true;
         forget(q);
     }
@@ -707,7 +706,6 @@
         std::vector<Held*> over;
         const double margin = 2 * set_.tickMs;
         for (auto& [seq, q] : held_) {
-            if (q->owner >= 0) continue;
             const bool forgotten = q->mayHaveRun && q->kind->effect == Effect::ByKey &&
                                    now_ + margin >= q->mayRunAt + q->kind->memorySpanMs;
             if (now_ + margin >= q->deadline || forgotten) over.push_back(q);
@@ -762,13 +760,13 @@
         for (auto& [rank, r] : reports) {
             r.incarnation = incarnation_;
             r.subperiod = sub_;
-            tell(rank, pack(r));
+            for (const auto& bytes : pack(r)) out_.emplace_back(TellPeers{rank, bytes});
         }
     }
     // Peer bytes are untrusted: all of a message is read and checked before any of it counts.
     void on(const PeerMessage& message) {
         if (message.from < 0 || message.from >= set_.hosts || message.from == set_.rank) return;
-        if (const auto notes = shared_ ? readNotes(message.bytes) : std::nullopt)
+        if (const auto notes = shared_ ? readNotes(message.bytes, set_) : std::nullopt)
             onNotes(message.from, *notes);
         const auto report = readReport(message.bytes);
         if (!report || report->subperiod > sub_ + 2) return;
@@ -847,11 +845,12 @@
     std::map<int, Peer> peers_;
     std::list<Held> pool_;
     std::unordered_map<std::string, std::list<Held>::iterator> byId_;
-    std::map<std::uint64_t, Held*> held_;
+    std::map<std::uint64_t, Held*> held_;                 // own
+    std::map<int, std::map<std::uint64_t, Held*>> asks_;  // others', by shard
     std::map<std::int64_t, KeyTurn> keys_;
     std::map<int, double> backlog_;
     std::unordered_map<const RequestClass*, double> longestTtl_;
-    std::deque<double> takenAt_, extraAt_;
+    UnitLog taken_, extra_;  // in requests
     std::set<std::pair<double, std::string>> deadlines_;
 };
 
