--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -34,7 +34,6 @@
 constexpr double kAskWaitMs = 100, kAskWaitLeastMs = 30, kAskWaitMostMs = 200;  // until a keeper is deaf
 constexpr double kAskAgainMs = 500, kDeafMs = 2000, kLeaseMs = 3000;
 constexpr double kHeatMs = 1000, kHeatStep = 4, kHeatMost = 255;  // steps to a doubling of time in a node
-constexpr std::int64_t kVolumeBits = (1 << 20) - 1;  // of a volume's number; peers' figures go by these
 
 }  // namespace
 
@@ -251,8 +250,7 @@
         if (set_.extraSpanMs > 0) taken_.entries.push_back({now_, 1});
         if (byId_.count(request.id)) return;
         if (!kind || !plan) return refuse(request.id);
-        // Two volumes of a plan whose numbers end alike share one store, which holds the limit all the same.
-        auto& v = volumes_[(plan - set_.plans.data()) * (kVolumeBits + 1) + (request.volume & kVolumeBits)];
+        auto& v = volumes_[request.volume];
         if (!v.plan) {
             v.plan = plan;
             v.filledAt = startedAt_;
--- a/tests/limit_test.cpp
+++ b/tests/limit_test.cpp
@@ -99,6 +99,24 @@
     }
 }
 
+// Guards against two volumes lending to each other: peers once told volumes apart by their last 20 bits, and
+// a day with 450 volumes passed a limit (incident i2408b2).
+TEST(Split, VolumesWhoseNumbersEndAlikeStayApart) {
+    Host a(many(2, 0), 1), b(many(2, 1), 2);
+    for (auto* h : {&a, &b}) h->step(kStart, {list(fleet())});
+    auto mine = drawn("mine", 2), other = drawn("other", 2);
+    mine.volume = 5;
+    other.volume = 5 + (std::int64_t{1} << 34);
+    a.step(kStart + 10, {mine});
+    b.step(kStart + 10, {other});
+    a.runTo(kStart + 250);
+    ASSERT_FALSE(a.told.empty());
+    const auto before = b.told.size();
+    for (auto& m : a.told) b.step(kStart + 255, {PeerMessage{0, m.bytes}});
+    b.runTo(kStart + 500);
+    for (std::size_t i = before; i < b.told.size(); ++i) EXPECT_EQ(b.told[i].to, -1);  // no word to a sharer
+}
+
 TEST(Split, AVolumeWithoutALimitSkipsCredits) {
     Host host(many(2, 0));
     host.step(kStart, {list(fleet())});
