--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -176,7 +176,7 @@
             if (v.limited()) split(v);
     }
     // The design's split: half of the rebuilt level evenly, half by w = Q + r, both floored. Hosts that have
-    // not made themselves known count as silent for a period, and as idle after it.
+    // not made themselves known count as idle: of many that share a volume most have no work for it.
     void split(Volume& v) {
         refill(v);
         const double b = v.hosts, w = v.held + v.rLast;
@@ -185,8 +185,6 @@
         for (auto& [rank, view] : v.peers)
             if (silent(view)) ++quiet;
             else sum += view.r + view.held;
-        if (now_ < v.announcedAt + kPeriodMs)
-            quiet += std::max(0, v.hosts - 1 - static_cast<int>(v.peers.size()));
         const double part = std::floor(d / b);
         d = std::max(0.0, d - quiet * part);
         sum += quiet * part;
@@ -257,7 +255,7 @@
             v.hosts = std::max(1, request.hosts);
             if (v.limited()) {
                 v.level = v.plan->limitBurst;
-                v.even = kStartPart * v.plan->limitBurst / v.hosts;
+                v.even = (kStartPart * v.plan->limitBurst + v.plan->slack) / v.hosts;
                 refill(v);
                 split(v);
             }
