--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -126,7 +126,9 @@
     bool mayDraw(Volume& v, double units) {
         if (!v.limited()) return true;
         refill(v);
-        return v.credit - v.r >= units && v.guardLeft() >= units;
+        const bool may = v.credit - v.r >= units && v.guardLeft() >= units;
+        v.starved = v.starved || !may;
+        return may;
     }
     void draw(Volume& v, double units) {
         if (!v.limited()) return;
@@ -725,7 +727,8 @@
     }
 
     // ---------------------------------------------------------------- peer reports
-    // To hosts known to share a volume, and only what changed; to all at first sight of a volume.
+    // To hosts known to share a volume, and only what changed; to all once a volume was first short of
+    // credit.
     void report() {
         if (!set_.mayTellPeers || set_.hosts == 1) return;
         std::map<int, Report> reports;
@@ -738,9 +741,9 @@
             CreditFigures mineNow{id, v.rLast, v.held, v.total, 0};
             const bool changed = mine > 0 || v.busy;
             v.busy = mine > 0;
-            const bool announce = v.announcedAt > now_;
+            const bool announce = v.announcedAt > now_ && v.starved;
             if (announce) reports[-1].figures.push_back(mineNow);
-            v.announcedAt = std::min(v.announcedAt, now_);
+            if (announce) v.announcedAt = now_;
             const double lend = v.lend;
             for (auto& [rank, view] : v.peers) {
                 const double w = view.sub + 1 >= sub_ ? view.r + view.held : 0;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -62,7 +62,7 @@
     int hosts = 1;
     // The rebuilt store (D), this host's figures of the subperiod, and the guard's own parts.
     double level = 0, filledAt = 0, credit = 0, r = 0, rLast = 0, held = 0;
-    bool first = true, busy = false;  // busy: told r or Q above zero last
+    bool first = true, starved = false, busy = false;  // busy: told r or Q above zero last
     int users = 0;
     double total = 0, usedAt = 0, announcedAt = 1e18;
     double even = 0, lend = 0;
