--- a/tests/limit_test.cpp
+++ b/tests/limit_test.cpp
@@ -143,6 +143,33 @@
     for (const auto& t : host.told) EXPECT_EQ(t.bytes[0], 3);  // notes on nodes, no report
 }
 
+// Guards against spending what was lent after its lender's part has filled again: word that comes 150 ms late
+// lends nothing. Should cover slow links and hosts that stall between writing and sending.
+TEST(Split, WhatIsLentInALateMessageIsDropped) {
+    for (const bool late : {false, true}) {
+        Host a(many(2, 0), 1), b(many(2, 1), 2);
+        for (auto* h : {&a, &b}) h->step(kStart, {list(fleet())});
+        a.step(kStart + 10, burst(0, 60, 2));
+        b.step(kStart + 10, burst(100, 1, 2));
+        for (const double t : {250.0, 500.0, 750.0}) {
+            for (auto* h : {&a, &b}) h->runTo(kStart + t);
+            for (auto& m : a.told) b.step(kStart + t + 4, {PeerMessage{0, m.bytes}});
+            for (auto& m : b.told) a.step(kStart + t + 4, {PeerMessage{1, m.bytes}});
+            a.told.clear();
+            b.told.clear();
+        }
+        for (auto* h : {&a, &b}) h->runTo(kStart + 1000);
+        ASSERT_FALSE(b.told.empty());
+        const double at = kStart + 1000 + (late ? 150 : 4);
+        a.runTo(at - 1);
+        a.step(at - 0.1, {Wake{}});
+        const auto before = a.sent.size();
+        for (auto& m : b.told) a.step(at, {PeerMessage{1, m.bytes}});
+        if (late) EXPECT_EQ(a.sent.size(), before);
+        else EXPECT_GT(a.sent.size(), before);
+    }
+}
+
 TEST(Split, AVolumeWithoutALimitSkipsCredits) {
     Host host(many(2, 0));
     host.step(kStart, {list(fleet())});
