--- a/include/spokewheel/scheduler.hpp
+++ b/include/spokewheel/scheduler.hpp
@@ -1,5 +1,5 @@
 // The interface of the decision module: plain structs in, plain structs out. The decisions themselves
-// are all in src/policy.cpp. Times are milliseconds on the caller's clock; sizes are units.
+// are all in src/policy/policy.cpp. Times are milliseconds on the caller's clock; sizes are units.
 #pragma once
 
 #include <cstdint>
