Every reminder of the module fires: keeping only the earliest left limited volumes asleep

Cause: the host kept the earliest of the module's reminders. The module asks for a later one when an earlier is within half a tick, and does not ask again; the later was dropped, and with no other traffic nothing woke the module. Found by 100,000 files onto a limited volume: after 3,815 files all stood still, and held requests got no answer. Change: all reminders are kept in a set and each fires.

--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -177,12 +177,18 @@
     if (edges_.tellPeers) edges_.tellPeers(a.to, a.bytes);
 }
 void Host::act(const Remind& a) {
-    // The module's reminders can't be taken back, and an earlier one makes it look at all that is due: the
-    // earliest is enough as long as each that fires brings the next.
-    const double at = io::nowMs() + a.afterMs;
-    if (reminder_.armed() && reminderAt_ <= at) return;
-    reminderAt_ = at;
-    reminder_.arm(a.afterMs, [this] { post(Wake{}); });
+    // Each reminder counts: the module asks for a later one while an earlier is about to fire and does not
+    // ask again, so that keeping the earliest alone would leave it asleep.
+    reminders_.insert(io::nowMs() + a.afterMs);
+    armReminder();
+}
+void Host::armReminder() {
+    if (reminders_.empty()) return;
+    reminder_.arm(*reminders_.begin() - io::nowMs(), [this] {
+        reminders_.erase(reminders_.begin(), reminders_.upper_bound(io::nowMs()));
+        post(Wake{});
+        armReminder();
+    });
 }
 void Host::act(const Subscribe&) {
     if (edges_.subscribe) edges_.subscribe();
--- a/src/host/host.hpp
+++ b/src/host/host.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -84,6 +85,7 @@
     void post(Event event);
     void step();
     void pump();
+    void armReminder();
     void act(const Attempt& a);
     void act(const Refuse& a);
     void act(const Fail& a);
@@ -108,7 +110,7 @@
     std::vector<Event> events_;
     std::map<std::string, int> shards_;
     io::Timer flush_, reminder_;
-    double reminderAt_ = 1e300;
+    std::multiset<double> reminders_;  // asked for by the module and not yet due
     Counters counters_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
