--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 CMAKE := cmake -S . -G Ninja -DSPOKEWHEEL_TESTS=ON -DSPOKEWHEEL_WERROR=ON
 JOBS := $(shell nproc)
 
-.PHONY: all setup build test sanitize demo format check-format fuzz clean
+ROUNDS ?= 5
+SEED ?= 1
+
+.PHONY: all setup build test sanitize demo bench bad-day format check-format fuzz clean
 
 all: build
 setup:
@@ -17,6 +20,13 @@
 	@$(CMAKE) -B build-sanitize -DCMAKE_BUILD_TYPE=RelWithDebInfo -DSPOKEWHEEL_SANITIZE=address,undefined >/dev/null
 	@cmake --build build-sanitize -j$(JOBS)
 	ctest --test-dir build-sanitize --output-on-failure -j$(JOBS)
+bench: setup
+	@$(CMAKE) -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo -DSPOKEWHEEL_BENCH=ON >/dev/null
+	@cmake --build $(BUILD) -j$(JOBS)
+	$(BUILD)/bin/module_step
+	$(BUILD)/bin/gateway_path
+bad-day: build
+	$(BUILD)/bin/spokewheel bad-day --seed $(SEED) --rounds $(ROUNDS)
 demo: build
 	@scripts/demo $(BUILD)
 format:
--- a/src/registry/list_http.cpp
+++ b/src/registry/list_http.cpp
@@ -91,11 +91,17 @@
     using Got = wire::http::Parser::Got;
     std::string_view part;
     for (;;) switch (parser_.next(bytes, part)) {
-            case Got::More: return;
-            case Got::Head: break;
-            case Got::Body: body_ += part; break;
-            case Got::End: return onAnswer();
-            case Got::Bad: return failed("registry: " + parser_.error());
+            case Got::More:
+                return;
+            case Got::Head:
+                break;
+            case Got::Body:
+                body_ += part;
+                break;
+            case Got::End:
+                return onAnswer();
+            case Got::Bad:
+                return failed("registry: " + parser_.error());
         }
 }
 
@@ -103,7 +109,8 @@
     const auto& head = parser_.head();
     const auto* text = head.find("X-Index");
     std::uint64_t index = 0;
-    const bool counted = text && std::from_chars(text->data(), text->data() + text->size(), index).ec == std::errc();
+    const bool counted =
+        text && std::from_chars(text->data(), text->data() + text->size(), index).ec == std::errc();
     if (head.status != 200 || !counted)
         return failed("registry answered with status " + std::to_string(head.status) +
                       (counted ? "" : " and no index"));
--- a/src/registry/list_http.hpp
+++ b/src/registry/list_http.hpp
@@ -22,7 +22,8 @@
     using Update = std::function<void(ListUpdate)>;
     using Fault = std::function<void(const std::string& words)>;
     // `cacheFile` empty: nothing is kept. The cached list, if there is one, is told before this returns.
-    ListHttp(const io::Address& registry, std::string cacheFile, std::uint64_t seed, Update update, Fault fault);
+    ListHttp(const io::Address& registry, std::string cacheFile, std::uint64_t seed, Update update,
+             Fault fault);
     ~ListHttp();
     // The module asks anew: at once where no query is out.
     void ask();
--- a/standins/registry.cpp
+++ b/standins/registry.cpp
@@ -6,8 +6,9 @@
 namespace spokewheel::standins {
 
 Registry::Registry(const io::Address& at, const io::Address& control) {
-    server_ = std::make_unique<HttpServer>(
-        at, HttpServer::Handler{[this](Request r) { onRequest(r); }, [this](std::uint64_t c) { waiting_.erase(c); }});
+    server_ =
+        std::make_unique<HttpServer>(at, HttpServer::Handler{[this](Request r) { onRequest(r); },
+                                                             [this](std::uint64_t c) { waiting_.erase(c); }});
     control_ = std::make_unique<HttpServer>(
         control, HttpServer::Handler{[this](Request r) { onControl(std::move(r)); }, {}});
 }
@@ -70,8 +71,9 @@
         down_ = silent_ = false;
         behindMs_ = 0;
     } else if (r.path != "/counts") status = 404;
-    control_->answer(r.connection, status, {},
-                     "queries " + std::to_string(queries_) + "\nwaiting " + std::to_string(waiting_.size()) + "\n");
+    control_->answer(
+        r.connection, status, {},
+        "queries " + std::to_string(queries_) + "\nwaiting " + std::to_string(waiting_.size()) + "\n");
 }
 
 }  // namespace spokewheel::standins
