--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -350,8 +350,11 @@
     }
     EXPECT_EQ(pull(0).status, 0);
     EXPECT_EQ(run({"diff", "-r", up(), at("down")}, 10).status, 0);
-    // Queues to the clients (a quarter of a MiB each) and one piece each above the cap, and no more.
-    EXPECT_LT(fleet_->residentPeakKiB(0) - before, 8 * 1024 + 200 * (256 + 512 + 128));
+    // Queues to the clients (a quarter of a MiB each) and one piece each above the cap, and no more. Sanitizers
+    // hold on to what was freed: there the figure says nothing.
+    if (!SPOKEWHEEL_SANITIZED) {
+        EXPECT_LT(fleet_->residentPeakKiB(0) - before, 8 * 1024 + 200 * (256 + 512 + 128));
+    }
     EXPECT_TRUE(waitUntil(
         15, [&] { return readFile(fleet_->logOf(0)).find("\"client_idle\"") != std::string::npos; }));
 }
