One reader of filter rules and one form of digests for both halves of a session

Cause: the sending and receiving half each had their own reader of filter rules, and three files their own way from a digest in hex to the protocol's bytes. Change: readFilterRule and sumOf beside md5, used by both halves and the listing. No behaviour changes.

--- a/src/fronts/rsync/context.hpp
+++ b/src/fronts/rsync/context.hpp
@@ -40,6 +40,12 @@
 };
 
 std::string md5(std::string_view first, std::string_view second);
+// A digest kept in hex as the protocol writes it: low half first, each half little endian.
+std::string sumOf(const std::string& hex);
+
+// One rule of the client's filter list, taken off its input.
+enum class FilterStep { More, Rule, End, Bad };
+FilterStep readFilterRule(Channel& channel, wire::rsync::Filter& filter, std::string& fault);
 
 // One direction of a transfer. advance() goes on as far as input, output and answers allow; it is called
 // again whenever one of them changed.
--- a/src/fronts/rsync/listing.cpp
+++ b/src/fronts/rsync/listing.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "fronts/rsync/context.hpp"
+
 namespace spokewheel::fronts::rsync {
 
 using catalogue::Kind;
@@ -10,15 +12,6 @@
 
 namespace {
 
-std::string bytesOf(const std::string& hex) {
-    // As the protocol writes it: low half first, each half little endian.
-    std::string out;
-    if (hex.size() != 32) return out;
-    for (int i = 15; i >= 0; --i)
-        out += static_cast<char>(std::stoi(hex.substr(static_cast<std::size_t>(i) * 2, 2), nullptr, 16));
-    return out;
-}
-
 class Builder {
   public:
     Builder(const catalogue::Catalogue& catalogue, const std::string& volume,
@@ -33,7 +26,7 @@
         l.entry.mtime = v->mtime;
         l.entry.nsec = v->nsec;
         l.entry.mode = wire::rsync::kRegular | (v->mode & 07777);
-        if (options_.checksum) l.entry.sum = bytesOf(v->digest);
+        if (options_.checksum) l.entry.sum = sumOf(v->digest);
         l.version = v;
         out.files.push_back(std::move(l));
     }
--- a/src/fronts/rsync/receiving.cpp
+++ b/src/fronts/rsync/receiving.cpp
@@ -18,12 +18,6 @@
 constexpr std::uint64_t kLeastForDelta = 16 * 1024;
 constexpr std::size_t kLeastLease = 4096, kListStep = 1000;
 
-std::string sumOf(const std::string& hex) {
-    std::string out;
-    for (std::size_t i = 16; hex.size() == 32 && i-- > 0;)
-        out += static_cast<char>(std::stoi(hex.substr(i * 2, 2), nullptr, 16));
-    return out;
-}
 std::string join(const std::string& directory, const std::string& name) {
     if (name == ".") return directory;
     return directory.empty() ? name : directory + "/" + name;
@@ -117,15 +111,18 @@
 }
 
 bool Receiving::readFilter() {
-    Reader r(channel_.input());
-    const auto n = r.u32();
-    if (r.enough() && n > kMostName + 16) return broken("filter rule too long");
-    const auto rule = r.bytes(n);
-    if (!r.enough()) return false;
-    const auto why = n ? filter_.add(rule) : "";
-    channel_.took(r.used());
-    if (!why.empty()) return broken("not supported: " + why);
-    if (n == 0) state_ = State::List;
+    std::string why;
+    switch (readFilterRule(channel_, filter_, why)) {
+        case FilterStep::More:
+            return false;
+        case FilterStep::Bad:
+            return broken(std::move(why));
+        case FilterStep::End:
+            state_ = State::List;
+            break;
+        case FilterStep::Rule:
+            break;
+    }
     return true;
 }
 
--- a/src/fronts/rsync/sending.cpp
+++ b/src/fronts/rsync/sending.cpp
@@ -17,12 +17,6 @@
 constexpr int kGeneralError = 1;
 constexpr double kRetryMs = 20;
 
-std::string sumBytes(const std::string& hex) {
-    std::string out;
-    for (std::size_t i = 16; i-- > 0;) out += static_cast<char>(std::stoi(hex.substr(i * 2, 2), nullptr, 16));
-    return out;
-}
-
 }  // namespace
 
 std::string md5(std::string_view first, std::string_view second) {
@@ -37,6 +31,29 @@
     return {reinterpret_cast<char*>(out), n};
 }
 
+std::string sumOf(const std::string& hex) {
+    std::string out;
+    for (std::size_t i = 16; hex.size() == 32 && i-- > 0;)
+        out += static_cast<char>(std::stoi(hex.substr(i * 2, 2), nullptr, 16));
+    return out;
+}
+
+FilterStep readFilterRule(Channel& channel, Filter& filter, std::string& fault) {
+    Reader r(channel.input());
+    const auto n = r.u32();
+    if (r.enough() && n > kMostName + 16) {
+        fault = "filter rule too long";
+        return FilterStep::Bad;
+    }
+    const auto rule = r.bytes(n);
+    if (!r.enough()) return FilterStep::More;
+    fault = n ? filter.add(rule) : "";
+    channel.took(r.used());
+    if (fault.empty()) return n ? FilterStep::Rule : FilterStep::End;
+    fault = "not supported: " + fault;
+    return FilterStep::Bad;
+}
+
 Sending::Sending(Context& context, Agreed agreed, Channel& channel, std::function<void()> wake)
     : context_(context),
       agreed_(std::move(agreed)),
@@ -94,17 +111,17 @@
 }
 
 bool Sending::readFilter() {
-    Reader r(channel_.input());
-    const auto n = r.u32();
-    if (r.enough() && n > kMostName + 16) return broken("filter rule too long");
-    const auto rule = r.bytes(n);
-    if (!r.enough()) return false;
-    const auto why = n ? filter_.add(rule) : "";
-    channel_.took(r.used());
-    if (!why.empty()) return broken("not supported: " + why);
-    if (n == 0) {
-        if (agreed_.options.filesFrom) state_ = State::Names;
-        else state_ = State::Wait;
+    std::string why;
+    switch (readFilterRule(channel_, filter_, why)) {
+        case FilterStep::More:
+            return false;
+        case FilterStep::Bad:
+            return broken(std::move(why));
+        case FilterStep::End:
+            state_ = agreed_.options.filesFrom ? State::Names : State::Wait;
+            break;
+        case FilterStep::Rule:
+            break;
     }
     return true;
 }
@@ -431,7 +448,7 @@
         gsize n = sizeof bytes;
         g_checksum_get_digest(static_cast<GChecksum*>(job.md5.get()), bytes, &n);
         sum.assign(reinterpret_cast<char*>(bytes), n);
-    } else sum = sumBytes(job.version->digest.empty() ? catalogue::hex128("") : job.version->digest);
+    } else sum = sumOf(job.version->digest.empty() ? catalogue::hex128("") : job.version->digest);
     if (!job.fault.empty()) {
         // Failed half-way: a checksum that can't match makes the client throw away what it has, as the
         // stock sender does on a read error; it asks again in the second round.
