A test that one upload made at two hosts is executed once: If-None-Match shown as a guard

Cause: with If-None-Match taken out every test still passed, for the catalogue alone kept repeats away. Change: two hosts upload the same file before either has heard of the other's; the node must do it once and answer the second that it is there, and both clients end well. Guard, taken out and put back: without If-None-Match Gateway.SameUploadAtTwoHostsIsExecutedOnce fails.

--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -260,6 +260,27 @@
     EXPECT_TRUE(fs::exists(at("down/empty")) && fs::file_size(at("down/empty")) == 0);
 }
 
+// One upload made at two hosts before either has heard of the other's: one name, so the node does it once and
+// tells the second that it is there.
+TEST_F(Gateway, SameUploadAtTwoHostsIsExecutedOnce) {
+    nodes(1, {"--base-ms", "1200", "--cores", "1"});
+    fleet_->startHost(0, 2);
+    fleet_->startHost(1, 2);
+    make("sheet", 5000, 1);
+    const std::vector<std::string> arrive = {"\"arrive\"", "PUT"};
+    const auto upload = [&](int rank) {
+        return Process({"rsync", "-t", up("sheet"), fleet_->url(rank, "maps/")}, at("client"));
+    };
+    auto first = upload(0);
+    ASSERT_TRUE(waitUntil(5, [&] { return fleet_->traced(0, arrive) == 1; }));
+    auto second = upload(1);
+    ASSERT_TRUE(waitUntil(5, [&] { return fleet_->traced(0, arrive) == 2; }));
+    EXPECT_EQ(first.wait(20), 0) << readFile(at("client"));
+    EXPECT_EQ(second.wait(20), 0) << readFile(at("client"));
+    EXPECT_EQ(fleet_->traced(0, {"\"execute\"", "PUT"}), 1u);
+    EXPECT_EQ(fleet_->traced(0, {"\"kept\"", "PUT"}), 1u);
+}
+
 TEST_F(Gateway, TwoHostsUploadingOnePathShowOneWinner) {
     nodes(2, {"--base-ms", "30"});
     fleet_->startHost(0, 2);
