Faults told to a client that reads nothing are counted, not queued without bound

Cause: each refused symlink or failed file was one message in the queue to the client, a million of them for a client that sends such a list and reads nothing. Change: while the queue to the client is full a fault is counted; the number is told at the end (still exit 23).

--- a/src/fronts/rsync/receiving.cpp
+++ b/src/fronts/rsync/receiving.cpp
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace spokewheel::fronts::rsync {
 
@@ -61,6 +62,12 @@
 }
 
 void Receiving::tell(const std::string& path, const std::string& words) {
+    // A client that sends a million symlinks and reads nothing must not fill the queue to it: what can't go
+    // out is counted and told as a number.
+    if (channel_.blocked()) {
+        ++untold_;
+        return;
+    }
     channel_.message(Message::ErrorXfer,
                      "spokewheel: \"" + path + "\" (in " + agreed_.volume->name + "): " + words + "\n");
     context_.note("file_not_stored", "", path + ": " + words);
@@ -581,6 +588,10 @@
         ++doneSent_;
         return true;
     }
+    if (untold_ > 0) {
+        const auto n = std::to_string(std::exchange(untold_, 0));
+        channel_.message(Message::ErrorXfer, "spokewheel: " + n + " more files were not stored\n");
+    }
     if (agreed_.options.remove && agreed_.options.deleteStats && agreed_.protocol >= 31) {
         out_.put(channel_.out(), kDeleteStats);
         for (const int n : {deleted_, deletedDirectories_, 0, 0, 0}) putVarint(channel_.out(), n);
--- a/src/fronts/rsync/receiving.hpp
+++ b/src/fronts/rsync/receiving.hpp
@@ -96,6 +96,7 @@
     std::map<std::uint64_t, std::string> open_;  // tickets of requests without an answer, with their ids
     std::uint64_t nextTicket_ = 0;
     std::size_t choresOpen_ = 0;
+    std::size_t untold_ = 0;  // faults that the client was not told by name
     int doneSent_ = 0, doneSeen_ = 0, deleted_ = 0, deletedDirectories_ = 0;
     bool moving_ = false;
     std::vector<host::Memory::Lease> listLeases_;
