--- /dev/null
+++ b/kit/fleet.cpp
@@ -0,0 +1,167 @@
+#include "kit/fleet.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <sstream>
+#include <stdexcept>
+
+namespace spokewheel::kit {
+namespace {
+
+const char* kClasses = R"(
+  - {name: view, effect: repeatable, aim-ms: 500, deadline-ms: 2500, points: 2}
+  - {name: upload, effect: once, writes: true, aim-ms: 500, deadline-ms: 4000, points: 3}
+)";
+const char* kPlans = R"(
+  - {name: open, nominal: 1000, reservation: 500, weight: 2}
+  - {name: limited, nominal: 50, reservation: 20, limit: 100, limit-burst: 400, slack: 8}
+)";
+
+// A free UDP port of the moment: peers must know each other's before any of them starts.
+int freeUdpPort() {
+    const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof a;
+    const bool fine = bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0 &&
+                      getsockname(fd, reinterpret_cast<sockaddr*>(&a), &n) == 0;
+    close(fd);
+    if (!fine) throw std::runtime_error("no free port");
+    return ntohs(a.sin_port);
+}
+
+}  // namespace
+
+Fleet::Fleet(std::string bin, std::string directory) : bin_(std::move(bin)), directory_(std::move(directory)) {
+    std::filesystem::create_directories(directory_);
+    writeFile(directory_ + "/peers.key", "a key of the rehearsal's own, for loopback\n", 0600);
+}
+Fleet::~Fleet() {
+    hosts_.clear();
+    nodes_.clear();
+    std::filesystem::remove_all(directory_);
+}
+
+void Fleet::startNode(int n, const NodeOptions& options) {
+    auto& node = nodes_[n];
+    const bool again = node.port != 0;
+    if (!again) node.options = options, node.shard = options.shard;
+    else if (!options.arguments.empty()) node.options.arguments = options.arguments;
+    const auto name = directory_ + "/node" + std::to_string(n);
+    std::filesystem::remove(name + ".port");
+    std::vector<std::string> command = {bin_ + "/spokewheel-standin", "node", "--data", name,
+                                        "--trace", traceOf(n), "--port-file", name + ".port"};
+    if (again) command.insert(command.end(), {"--listen", "127.0.0.1:" + std::to_string(node.port)});
+    command.insert(command.end(), node.options.arguments.begin(), node.options.arguments.end());
+    node.process = Process(command, name + ".out");
+    if (!waitUntil(20, [&] { return std::filesystem::exists(name + ".port") || !node.process.running(); }) ||
+        !node.process.running())
+        throw std::runtime_error("node did not start: " + readFile(name + ".out"));
+    std::istringstream(readFile(name + ".port")) >> node.port >> node.controlPort;
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    node.startedMs = again ? std::chrono::duration_cast<std::chrono::milliseconds>(wall).count() : 0;
+}
+
+bool Fleet::control(int n, const std::string& target) {
+    return http(nodes_.at(n).controlPort, "POST", target).first == 200;
+}
+long Fleet::count(int n, const std::string& what) {
+    std::istringstream in(http(nodes_.at(n).controlPort, "GET", "/counts").second);
+    std::string name;
+    long value = 0;
+    while (in >> name >> value)
+        if (name == what) return value;
+    return -1;
+}
+std::size_t Fleet::traced(int n, const std::vector<std::string>& words) const {
+    std::istringstream in(readFile(traceOf(n)));
+    std::size_t count = 0;
+    for (std::string line; std::getline(in, line);) {
+        bool all = true;
+        for (const auto& w : words) all = all && line.find(w) != line.npos;
+        count += all;
+    }
+    return count;
+}
+std::size_t Fleet::tracedAll(const std::vector<std::string>& words) const {
+    std::size_t sum = 0;
+    for (const auto& [n, node] : nodes_) sum += traced(n, words);
+    return sum;
+}
+
+void Fleet::writeList(const std::map<int, std::string>& states) {
+    std::string text = "version: " + std::to_string(++listVersion_) + "\nnodes:\n";
+    for (const auto& [n, node] : nodes_) {
+        const auto state = states.find(n);
+        if (state != states.end() && state->second == "absent") continue;
+        text += "  - {node: \"127.0.0.1:" + std::to_string(node.port) +
+                "\", shard: " + std::to_string(node.shard) +
+                ", state: " + (state == states.end() ? "ready" : state->second);
+        if (node.startedMs) text += ", started-ms: " + std::to_string(node.startedMs);
+        text += "}\n";
+    }
+    writeFile(directory_ + "/nodes.yaml", text);
+}
+
+void Fleet::startHost(int rank, int hosts, const HostOptions& options) {
+    for (int r = 0; hosts > 1 && r < hosts; ++r)
+        if (!peerPorts_.count(r)) peerPorts_[r] = freeUdpPort();
+    auto& host = hosts_[rank];
+    std::string text = "host: {hosts: " + std::to_string(hosts) + ", rank: " + std::to_string(rank) + "}\n";
+    text += "listen: {rsync: \"127.0.0.1:" + std::to_string(host.port) + "\"";
+    if (hosts > 1) text += ", peers: \"127.0.0.1:" + std::to_string(peerPorts_[rank]) + "\"";
+    text += "}\nnodes: {file: nodes.yaml}\nclasses:" + (options.classes.empty() ? kClasses : options.classes);
+    text += "\noperations: {read: view, write: upload, unit: 64KiB, piece: 256KiB}\nplans:";
+    text += options.plans.empty() ? kPlans : options.plans;
+    text += "\nvolumes:";
+    text += options.volumes.empty() ? "\n  - {name: maps, number: 1, plan: open}"
+                                      "\n  - {name: narrow, number: 2, plan: limited}\n"
+                                    : options.volumes;
+    if (hosts > 1) {
+        text += "\npeers:\n  key-file: peers.key\n  hosts:\n";
+        for (const auto& [r, port] : peerPorts_)
+            text += "    - {rank: " + std::to_string(r) + ", address: \"127.0.0.1:" + std::to_string(port) + "\"}\n";
+    }
+    text += "\nlog: {file: host" + std::to_string(rank) + ".log, level: debug}\n" + options.extra;
+    const auto file = directory_ + "/host" + std::to_string(rank) + ".yaml";
+    writeFile(file, text);
+    std::filesystem::remove(logOf(rank));
+    host.process = Process({bin_ + "/spokewheeld", "--config", file}, logOf(rank) + ".out");
+    const std::string mark = "\"rsync_port\":\"";
+    std::string log;
+    waitUntil(20, [&] {
+        log = readFile(logOf(rank));
+        return log.find(mark) != log.npos || !host.process.running();
+    });
+    const auto at = log.find(mark);
+    if (at == log.npos) throw std::runtime_error("host did not start: " + readFile(logOf(rank) + ".out"));
+    host.port = std::atoi(log.c_str() + at + mark.size());
+}
+
+int Fleet::stopHost(int rank, double seconds) {
+    hosts_.at(rank).process.signal(SIGTERM);
+    return hosts_.at(rank).process.wait(seconds);
+}
+std::string Fleet::url(int rank, const std::string& path) const {
+    return "rsync://127.0.0.1:" + std::to_string(rsyncPort(rank)) + "/" + path;
+}
+long Fleet::residentPeakKiB(int rank) const {
+    std::istringstream in(readFile("/proc/" + std::to_string(hosts_.at(rank).process.pid()) + "/status"));
+    for (std::string line; std::getline(in, line);)
+        if (line.rfind("VmHWM:", 0) == 0) return std::atol(line.c_str() + 6);
+    return -1;
+}
+Run Fleet::rsync(std::vector<std::string> arguments, double seconds) const {
+    arguments.insert(arguments.begin(), "rsync");
+    return run(arguments, seconds);
+}
+
+}  // namespace spokewheel::kit
--- a/src/catalogue/catalogue.cpp
+++ b/src/catalogue/catalogue.cpp
@@ -45,6 +45,17 @@
     return out;
 }
 
+std::size_t Catalogue::countBelow(const std::string& volume, const std::string& directory) const {
+    const auto v = volumes_.find(volume);
+    if (v == volumes_.end()) return 0;
+    if (directory.empty()) return v->second.size();
+    const auto prefix = directory + "/";
+    std::size_t n = 0;
+    for (auto it = v->second.lower_bound(prefix); it != v->second.end(); ++it, ++n)
+        if (it->first.compare(0, prefix.size(), prefix) != 0) break;
+    return n;
+}
+
 bool Catalogue::isDirectory(const std::string& volume, const std::string& path) const {
     if (path.empty()) return true;
     if (const auto own = find(volume, path)) return own->kind == Kind::Directory;
--- a/src/catalogue/catalogue.hpp
+++ b/src/catalogue/catalogue.hpp
@@ -30,6 +30,8 @@
     std::uint64_t baseVersion(const std::string& volume, const std::string& path) const;
     // All shown below `directory` ("" for the top), in the order of paths; the directory itself is left out.
     std::vector<Shown> below(const std::string& volume, const std::string& directory) const;
+    // How many are shown below it, gone ones counted too: an upper bound that costs no copies.
+    std::size_t countBelow(const std::string& volume, const std::string& directory) const;
     // Whether something lies below the path, or it is a directory of its own.
     bool isDirectory(const std::string& volume, const std::string& path) const;
     std::size_t size() const { return count_; }
--- a/src/fronts/rsync/context.hpp
+++ b/src/fronts/rsync/context.hpp
@@ -9,6 +9,7 @@
 #include "fronts/rsync/channel.hpp"
 #include "fronts/store.hpp"
 #include "host/memory.hpp"
+#include "io/loop.hpp"
 #include "wire/rsync/options.hpp"
 #include "wire/rsync/tokens.hpp"
 
@@ -24,6 +25,9 @@
     std::size_t moving = 0;  // sessions that move data, for the parts of memory
 };
 
+// About what an entry of a file list costs while a session holds it.
+constexpr std::uint64_t kListEntryBytes = 200;
+
 // What was agreed before the stream starts.
 struct Agreed {
     const config::VolumeSettings* volume = nullptr;
--- a/src/fronts/rsync/receiving.cpp
+++ b/src/fronts/rsync/receiving.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint16_t kTransfer = 1 << 15, kIsNew = 1 << 13, kLocalChange = 1 << 14,
                         kBasisFollows = 1 << 11, kNameFollows = 1 << 12;
 constexpr std::uint64_t kLeastForDelta = 16 * 1024;
-constexpr std::size_t kLeastLease = 4096;
+constexpr std::size_t kLeastLease = 4096, kListStep = 1000;
 
 std::string sumOf(const std::string& hex) {
     std::string out;
@@ -143,6 +143,14 @@
                 channel_.took(before - in.size());
                 if (list_.size() >= context_.settings.listEntries)
                     return broken("more than " + std::to_string(context_.settings.listEntries) + " files");
+                if (list_.size() % kListStep == 0) {
+                    // To wait here could wait for ever: two lists half-way in would hold what both need.
+                    const auto bytes = kListStep * kListEntryBytes;
+                    if (!host::mayKeepList(bytes, context_.memory.free(), context_.memory.used()) &&
+                        !list_.empty())
+                        return broken("no memory for a file list this long now, try again later");
+                    listLeases_.push_back(context_.memory.take(bytes));
+                }
                 list_.push_back(std::move(entry));
                 break;
             case ListReader::Got::End:
--- a/src/fronts/rsync/receiving.hpp
+++ b/src/fronts/rsync/receiving.hpp
@@ -98,6 +98,7 @@
     std::size_t choresOpen_ = 0;
     int doneSent_ = 0, doneSeen_ = 0, deleted_ = 0, deletedDirectories_ = 0;
     bool moving_ = false;
+    std::vector<host::Memory::Lease> listLeases_;
     Flow flow_;
 };
 
--- a/src/fronts/rsync/sending.cpp
+++ b/src/fronts/rsync/sending.cpp
@@ -14,6 +14,7 @@
 constexpr std::int32_t kMostBlocks = 1 << 20;
 constexpr std::size_t kMostNames = 1000000;
 constexpr int kGeneralError = 1;
+constexpr double kRetryMs = 20;
 
 std::string sumBytes(const std::string& hex) {
     std::string out;
@@ -67,6 +68,9 @@
             case State::Names:
                 more = readNames();
                 break;
+            case State::Wait:
+                more = mayList();
+                break;
             case State::List:
                 more = writeList();
                 break;
@@ -99,7 +103,7 @@
     if (!why.empty()) return broken("not supported: " + why);
     if (n == 0) {
         if (agreed_.options.filesFrom) state_ = State::Names;
-        else makeList();
+        else state_ = State::Wait;
     }
     return true;
 }
@@ -125,6 +129,22 @@
         paths_.push_back(std::move(p));
     }
     names_.clear();
+    state_ = State::Wait;
+    return true;
+}
+
+// Lists are the largest thing a session holds: each takes its part of the memory, and waits for it.
+bool Sending::mayList() {
+    std::uint64_t entries = paths_.size();
+    if (agreed_.options.recurse)
+        for (const auto& p : paths_)
+            entries += context_.store.catalogue().countBelow(agreed_.volume->name, p.path);
+    const auto bytes = kListEntryBytes * std::min<std::uint64_t>(entries, context_.settings.listEntries);
+    if (!host::mayKeepList(bytes, context_.memory.free(), context_.memory.used())) {
+        retry_.arm(kRetryMs, [wake = wake_] { wake(); });
+        return false;
+    }
+    listLease_ = context_.memory.take(bytes);
     makeList();
     return true;
 }
--- a/src/fronts/rsync/sending.hpp
+++ b/src/fronts/rsync/sending.hpp
@@ -19,10 +19,10 @@
     Sending(Context& context, Agreed agreed, Channel& channel, std::function<void()> wake);
     ~Sending() override;
     bool advance() override;
-    bool working() const override { return open_ > 0; }
+    bool working() const override { return open_ > 0 || state_ == State::Wait; }
 
   private:
-    enum class State { Filter, Names, List, Serve, Goodbye, Over };
+    enum class State { Filter, Names, Wait, List, Serve, Goodbye, Over };
     struct Slot {  // one object asked for
         std::string body, request;
         bool ready = false;
@@ -49,6 +49,7 @@
 
     bool readFilter();
     bool readNames();
+    bool mayList();
     void makeList();
     bool writeList();
     bool readRequests();
@@ -86,6 +87,8 @@
     std::uint64_t written_ = 0;
     Flow flow_;
     bool moving_ = false;
+    host::Memory::Lease listLease_;
+    io::Timer retry_;
 };
 
 }  // namespace spokewheel::fronts::rsync
--- a/src/host/decide_request.hpp
+++ b/src/host/decide_request.hpp
@@ -45,4 +45,12 @@
     return std::clamp<std::size_t>(static_cast<std::size_t>(share), 1, std::max<std::size_t>(1, most));
 }
 
+// Whether a file list of so many bytes may be made or kept now. One alone always may, however large, else it
+// could never be served; small ones always may, for what all clients could hold of them is little; others
+// wait, so that many large lists at once stay within the memory.
+constexpr std::uint64_t kSmallList = 256 * 1024;
+inline bool mayKeepList(std::uint64_t bytes, std::uint64_t freeBytes, std::uint64_t usedBytes) {
+    return bytes <= kSmallList || usedBytes == 0 || bytes <= freeBytes;
+}
+
 }  // namespace spokewheel::host
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -22,7 +22,7 @@
     }
     logger_->set_level(spdlog::level::from_str(level));
     logger_->set_pattern("{\"at\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\",%v}");
-    logger_->flush_on(spdlog::level::warn);
+    logger_->flush_on(spdlog::level::info);
 }
 Log::~Log() { flush(); }
 void Log::flush() { logger_->flush(); }
