--- a/kit/fleet.cpp
+++ b/kit/fleet.cpp
@@ -40,7 +40,8 @@
 
 }  // namespace
 
-Fleet::Fleet(std::string bin, std::string directory) : bin_(std::move(bin)), directory_(std::move(directory)) {
+Fleet::Fleet(std::string bin, std::string directory)
+    : bin_(std::move(bin)), directory_(std::move(directory)) {
     std::filesystem::create_directories(directory_);
     writeFile(directory_ + "/peers.key", "a key of the rehearsal's own, for loopback\n", 0600);
 }
@@ -57,8 +58,14 @@
     else if (!options.arguments.empty()) node.options.arguments = options.arguments;
     const auto name = directory_ + "/node" + std::to_string(n);
     std::filesystem::remove(name + ".port");
-    std::vector<std::string> command = {bin_ + "/spokewheel-standin", "node", "--data", name,
-                                        "--trace", traceOf(n), "--port-file", name + ".port"};
+    std::vector<std::string> command = {bin_ + "/spokewheel-standin",
+                                        "node",
+                                        "--data",
+                                        name,
+                                        "--trace",
+                                        traceOf(n),
+                                        "--port-file",
+                                        name + ".port"};
     if (again) command.insert(command.end(), {"--listen", "127.0.0.1:" + std::to_string(node.port)});
     command.insert(command.end(), node.options.arguments.begin(), node.options.arguments.end());
     node.process = Process(command, name + ".out");
@@ -128,7 +135,8 @@
     if (hosts > 1) {
         text += "\npeers:\n  key-file: peers.key\n  hosts:\n";
         for (const auto& [r, port] : peerPorts_)
-            text += "    - {rank: " + std::to_string(r) + ", address: \"127.0.0.1:" + std::to_string(port) + "\"}\n";
+            text += "    - {rank: " + std::to_string(r) + ", address: \"127.0.0.1:" + std::to_string(port) +
+                    "\"}\n";
     }
     text += "\nlog: {file: host" + std::to_string(rank) + ".log, level: debug}\n" + options.extra;
     const auto file = directory_ + "/host" + std::to_string(rank) + ".yaml";
--- a/kit/process.cpp
+++ b/kit/process.cpp
@@ -117,7 +117,8 @@
 }
 
 Socket::Socket(int port, double seconds) : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    timeval t{static_cast<time_t>(seconds), static_cast<suseconds_t>((seconds - static_cast<long>(seconds)) * 1e6)};
+    timeval t{static_cast<time_t>(seconds),
+              static_cast<suseconds_t>((seconds - static_cast<long>(seconds)) * 1e6)};
     setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &t, sizeof t);
     setsockopt(fd_, SOL_SOCKET, SO_SNDTIMEO, &t, sizeof t);
     sockaddr_in a{};
--- a/src/fronts/decide_flow.hpp
+++ b/src/fronts/decide_flow.hpp
@@ -21,8 +21,11 @@
         served_ = 0;
         window_ = std::min(most_, window_ + 1);
     }
-    // Whether to ask again. `tries` counts how often this one was refused, this time included.
-    bool refused(int tries) {
+    // Whether to ask again. `tries` counts how often this one was refused, this time included; `underway`
+    // is whether other parts of the same file were served. Only then is the refusal taken for a sign of
+    // asking too fast: a file refused as a whole is answered so at once, within the time of one request.
+    bool refused(int tries, bool underway) {
+        if (!underway) return false;
         served_ = 0;
         // Those refused together with this one are one sign, not many.
         if (inRow_++ % std::max<std::size_t>(1, window_) == 0)
--- a/src/fronts/rsync/receiving.cpp
+++ b/src/fronts/rsync/receiving.cpp
@@ -318,7 +318,7 @@
     open_[ticket] = context_.store.writeVersion(
         *agreed_.volume, chore->version, body, track<WriteResult>(ticket, [this, chore, body](WriteResult r) {
             if (r.fine) flow_.served();
-            else if (r.refused && flow_.refused(++chore->refused)) return writeChore(chore, body);
+            else if (r.refused && flow_.refused(++chore->refused, false)) return writeChore(chore, body);
             else tell(chore->version.path, r.words);
             --choresOpen_;
         }));
@@ -511,8 +511,8 @@
     open_[ticket] = context_.store.writePiece(
         *agreed_.volume, f->version.path, f->pieces[i].object.substr(2), body, expected,
         track<WriteResult>(ticket, [this, f, i, body, lease, refused](WriteResult r) {
-            if (r.fine) flow_.served();
-            else if (r.refused && f->fault.empty() && flow_.refused(refused + 1))
+            if (r.fine) flow_.served(), ++f->stored;
+            else if (r.refused && f->fault.empty() && flow_.refused(refused + 1, f->stored > 0))
                 return putPiece(f, i, body, lease, refused + 1);
             else if (f->fault.empty()) f->fault = r.words;
             f->pieces[i].shard = r.shard;
@@ -554,13 +554,12 @@
         body = std::make_shared<const std::string>(catalogue::encode(f->pieces));
     }
     const auto ticket = ++nextTicket_;
-    open_[ticket] = context_.store.writeVersion(*agreed_.volume, f->version, body,
-                                                track<WriteResult>(ticket, [this, f, refused](WriteResult r) {
-                                                    if (r.fine) flow_.served();
-                                                    else if (r.refused && flow_.refused(refused + 1))
-                                                        commit(f, refused + 1);
-                                                    else tell(f->version.path, r.words);
-                                                }));
+    open_[ticket] = context_.store.writeVersion(
+        *agreed_.volume, f->version, body, track<WriteResult>(ticket, [this, f, refused](WriteResult r) {
+            if (r.fine) flow_.served();
+            else if (r.refused && flow_.refused(refused + 1, f->stored > 0)) commit(f, refused + 1);
+            else tell(f->version.path, r.words);
+        }));
 }
 
 // ---------------------------------------------------------------- rounds
--- a/src/fronts/rsync/sending.cpp
+++ b/src/fronts/rsync/sending.cpp
@@ -309,8 +309,9 @@
     const auto job = weak.lock();
     if (!job) return;
     auto& slot = job->slots[i];
-    if (result.fine) flow_.served();
-    else if (result.refused && job->fault.empty() && flow_.refused(++slot.refused)) return ask(job, i);
+    if (result.fine) flow_.served(), ++job->served;
+    else if (result.refused && job->fault.empty() && flow_.refused(++slot.refused, job->served > 0))
+        return ask(job, i);
     if (result.fine && job->wantsManifest) {
         const auto pieces = catalogue::decodePieces(result.body, job->version->size);
         job->wantsManifest = false;
--- a/src/fronts/rsync/sending.hpp
+++ b/src/fronts/rsync/sending.hpp
@@ -40,7 +40,7 @@
         std::vector<catalogue::Piece> pieces;
         bool wantsManifest = false;
         std::map<std::size_t, Slot> slots;
-        std::size_t asked = 0, sent = 0;
+        std::size_t asked = 0, sent = 0, served = 0;
         std::string fault;
         std::unique_ptr<wire::rsync::Matcher> matcher;
         std::unique_ptr<void, void (*)(void*)> md5{nullptr, nullptr};
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -177,16 +177,13 @@
     if (edges_.tellPeers) edges_.tellPeers(a.to, a.bytes);
 }
 void Host::act(const Remind& a) {
-    // Each reminder counts: the module asks for a later one while an earlier is about to fire and does not
-    // ask again, so that keeping the earliest alone would leave it asleep.
-    reminders_.insert(io::nowMs() + a.afterMs);
+    reminders_.add(io::nowMs() + a.afterMs);
     armReminder();
 }
 void Host::armReminder() {
     if (reminders_.empty()) return;
-    reminder_.arm(*reminders_.begin() - io::nowMs(), [this] {
-        reminders_.erase(reminders_.begin(), reminders_.upper_bound(io::nowMs()));
-        post(Wake{});
+    reminder_.arm(reminders_.next() - io::nowMs(), [this] {
+        if (reminders_.due(io::nowMs())) post(Wake{});
         armReminder();
     });
 }
--- a/src/host/host.hpp
+++ b/src/host/host.hpp
@@ -7,12 +7,12 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "host/exchange.hpp"
+#include "host/reminders.hpp"
 #include "io/loop.hpp"
 #include "spokewheel/scheduler.hpp"
 
@@ -110,7 +110,7 @@
     std::vector<Event> events_;
     std::map<std::string, int> shards_;
     io::Timer flush_, reminder_;
-    std::multiset<double> reminders_;  // asked for by the module and not yet due
+    Reminders reminders_;
     Counters counters_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/wire/rsync/options.cpp
+++ b/src/wire/rsync/options.cpp
@@ -75,7 +75,7 @@
             // What the client prints of each file; nothing to do on this side.
         } else if (a.rfind("--", 0) == 0 || a.size() < 2 || a[0] != '-') out.error = "option " + a;
         else
-            for (std::size_t i = 1; i < a.size() && out.error.empty(); ++i) {
+            for (std::size_t i = 1; i < a.size(); ++i) {
                 const char c = a[i];
                 if (c == 'e') {  // the rest are capabilities: "e31.14iLsfx" or "e.iLsfx"
                     o.capabilities = a.substr(i + 1);
@@ -85,7 +85,7 @@
                 else if (c == 'i') continue;  // itemize: printed by the client
                 else if (c == 'D') o.devices = o.specials = true;
                 else if (const auto found = letters.find(c); found != letters.end()) *found->second = true;
-                else out.error = std::string("option -") + c;
+                else if (out.error.empty()) out.error = std::string("option -") + c;
             }
         // The rest is read all the same: what follows in the stream depends on it.
         if (!out.error.empty() && first.empty()) first = std::move(out.error);
--- /dev/null
+++ b/tests/gateway/parts_test.cpp
@@ -0,0 +1,220 @@
+// The parts that decide or keep state, without sockets.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <random>
+
+#include "catalogue/catalogue.hpp"
+#include "catalogue/decide_winner.hpp"
+#include "config/settings.hpp"
+#include "fronts/decide_flow.hpp"
+#include "host/decide_request.hpp"
+#include "host/memory.hpp"
+#include "host/reminders.hpp"
+#include "kit/process.hpp"
+#include "wire/peer/datagram.hpp"
+
+namespace spokewheel {
+namespace {
+
+TEST(Reminders, ALaterOneOutlivesAnEarlier) {
+    host::Reminders r;
+    r.add(10);
+    r.add(20);
+    EXPECT_FALSE(r.due(9));
+    EXPECT_TRUE(r.due(10.4));
+    ASSERT_FALSE(r.empty());
+    EXPECT_EQ(r.next(), 20);
+}
+
+TEST(Flow, OnlyAFileUnderwayIsAskedForAgainAndMoreSlowly) {
+    fronts::Flow f(8);
+    EXPECT_FALSE(f.refused(1, false));
+    EXPECT_EQ(f.window(), 8u);  // one file refused as a whole says nothing of speed
+    EXPECT_TRUE(f.refused(1, true));
+    EXPECT_EQ(f.window(), 4u);
+    for (int i = 0; i < 3; ++i) f.refused(1, true);
+    EXPECT_EQ(f.window(), 4u);  // refused together: one sign
+    EXPECT_FALSE(f.refused(fronts::Flow::kMostTries, true));
+    for (int i = 0; i < 100; ++i) f.served();
+    EXPECT_EQ(f.window(), 8u);
+}
+
+TEST(RequestShape, ClassBySizeOfFileUnitsByWhatMoves) {
+    host::RequestRules r;
+    r.readClass = "view", r.largeReadClass = "export", r.writeClass = "upload";
+    r.largeFromBytes = 1000, r.unitBytes = 100, r.topUnits = 8;
+    using host::Operation;
+    EXPECT_EQ(host::shapeOf(r, Operation::Read, 999, 999).requestClass, "view");
+    EXPECT_EQ(host::shapeOf(r, Operation::Read, 1000, 10).requestClass, "export");
+    EXPECT_EQ(host::shapeOf(r, Operation::Write, 5000, 10).requestClass, "upload");
+    EXPECT_EQ(host::shapeOf(r, Operation::Read, 0, 0).units, 1);
+    EXPECT_EQ(host::shapeOf(r, Operation::Read, 0, 101).units, 2);
+    EXPECT_EQ(host::shapeOf(r, Operation::Read, 0, 100000).units, 8);
+    EXPECT_EQ(host::piecesAhead(100, 4, 10, 8), 2u);
+    EXPECT_EQ(host::piecesAhead(0, 4, 10, 8), 1u);
+    EXPECT_EQ(host::piecesAhead(1000, 1, 10, 8), 8u);
+    EXPECT_TRUE(host::mayKeepList(1 << 30, 0, 0));
+    EXPECT_FALSE(host::mayKeepList(1 << 30, 1000, 1000));
+    EXPECT_TRUE(host::mayKeepList(1000, 0, 1 << 30));
+}
+
+TEST(Memory, LeasesGiveBackOnce) {
+    host::Memory m(100);
+    {
+        auto a = m.take(60);
+        auto b = std::move(a);
+        a.release();
+        EXPECT_EQ(m.free(), 40u);
+        b = m.take(10);
+        EXPECT_EQ(m.free(), 90u);
+    }
+    EXPECT_EQ(m.used(), 0u);
+}
+
+TEST(Catalogue, HostsThatHeardTheSameShowTheSame) {
+    std::mt19937 random(11);
+    std::vector<catalogue::FileVersion> versions;
+    for (int i = 0; i < 60; ++i) {
+        catalogue::FileVersion v;
+        v.path = "p" + std::to_string(random() % 4);
+        v.version = 1 + random() % 3;
+        v.kind = random() % 4 ? catalogue::Kind::File : catalogue::Kind::Gone;
+        v.id = catalogue::hex128(std::to_string(random() % 20));
+        v.shard = static_cast<int>(random() % 3);
+        versions.push_back(v);
+    }
+    std::vector<std::string> shown;
+    for (int order = 0; order < 30; ++order) {
+        std::shuffle(versions.begin(), versions.end(), random);
+        catalogue::Catalogue c;
+        for (const auto& v : versions) c.learn("maps", v);
+        std::string all;
+        for (const auto& f : c.below("maps", "")) all += f->path + f->id + std::to_string(f->shard) + " ";
+        shown.push_back(all);
+    }
+    EXPECT_EQ(std::count(shown.begin(), shown.end(), shown[0]), 30);
+}
+
+TEST(Catalogue, DirectoriesExistByWhatTheyHold) {
+    catalogue::Catalogue c;
+    catalogue::FileVersion v;
+    v.path = "a/b/f", v.version = 1, v.id = "1", v.shard = 0;
+    c.learn("maps", v);
+    EXPECT_TRUE(c.isDirectory("maps", "a/b"));
+    EXPECT_FALSE(c.isDirectory("maps", "a/bb"));
+    v.kind = catalogue::Kind::Gone, v.version = 2, v.id = "2";
+    c.learn("maps", v);
+    EXPECT_FALSE(c.isDirectory("maps", "a/b"));
+    EXPECT_EQ(c.baseVersion("maps", "a/b/f"), 2u);  // the next upload comes after the deletion
+    EXPECT_EQ(c.find("maps", "a/b/f"), nullptr);
+}
+
+TEST(FileVersion, MetadataAndPiecesComeBack) {
+    catalogue::FileVersion v;
+    v.path = "a dir/\xc3\xa9&=%";
+    v.size = 77, v.mtime = -5, v.nsec = 9, v.mode = 0600, v.version = 3;
+    v.digest = catalogue::hex128("x");
+    v.layout = catalogue::Layout::Manifest;
+    const auto back = catalogue::decode(catalogue::encode(v));
+    ASSERT_TRUE(back);
+    EXPECT_EQ(catalogue::encode(*back), catalogue::encode(v));
+    EXPECT_EQ(back->path, v.path);
+    for (const auto* text : {"", "f=2&path=x&version=1", "f=1&path=x", "f=1&path=x&version=1&size=-1",
+                             "f=1&path=%zz&version=1", "f=1&version=1&kind=socket&path=x"})
+        EXPECT_FALSE(catalogue::decode(text)) << text;
+    const std::vector<catalogue::Piece> pieces = {{1, "p/" + v.digest, 50, v.digest}, {0, "o/" + v.digest, 27, v.digest}};
+    const auto text = catalogue::encode(pieces);
+    ASSERT_TRUE(catalogue::decodePieces(text, 77));
+    EXPECT_FALSE(catalogue::decodePieces(text, 78));
+    EXPECT_FALSE(catalogue::decodePieces(text.substr(0, text.size() - 3), 77));
+    EXPECT_FALSE(catalogue::decodePieces("pieces 1\n0 p/../../x 77 " + v.digest, 77));
+}
+
+TEST(PeerDatagram, ForgedGarbledAndRepeatedOnesAreDropped) {
+    const wire::peer::Digest digest = [](std::string_view bytes) {
+        return catalogue::hex128("key" + std::string(bytes));
+    };
+    const auto text = wire::peer::pack({3, 100, 5, "credits"}, digest);
+    wire::peer::Fault fault;
+    ASSERT_EQ(wire::peer::unpack(text, digest, fault)->payload, "credits");
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        auto bent = text;
+        bent[i] = static_cast<char>(bent[i] ^ 4);
+        EXPECT_FALSE(wire::peer::unpack(bent, digest, fault)) << i;
+        EXPECT_FALSE(wire::peer::unpack(std::string_view(text).substr(0, i), digest, fault)) << i;
+    }
+    wire::peer::ReplayGuard guard;
+    const auto take = [&guard](std::uint64_t incarnation, std::uint64_t sequence) {
+        return guard.take({3, incarnation, sequence, ""});
+    };
+    EXPECT_TRUE(take(100, 5));
+    EXPECT_FALSE(take(100, 5));
+    EXPECT_TRUE(take(100, 70));
+    EXPECT_TRUE(take(100, 7));    // late, within the window
+    EXPECT_FALSE(take(100, 7));
+    EXPECT_FALSE(take(100, 6));   // older than the window
+    EXPECT_TRUE(take(101, 1));    // restarted
+    EXPECT_FALSE(take(100, 71));  // from before the restart
+}
+
+class Config : public ::testing::Test {
+  protected:
+    void SetUp() override {
+        dir_ = std::filesystem::temp_directory_path() / ("spokewheel-config-" + std::to_string(getpid()));
+        std::filesystem::remove_all(dir_);
+        std::filesystem::copy(SPOKEWHEEL_SOURCE "/deploy/example", dir_,
+                              std::filesystem::copy_options::recursive);
+        text_ = kit::readFile((dir_ / "gateway.yaml").string());
+    }
+    void TearDown() override { std::filesystem::remove_all(dir_); }
+    std::string mistakes(const std::string& from, const std::string& to) {
+        auto text = text_;
+        const auto at = text.find(from);
+        EXPECT_NE(at, std::string::npos) << from;
+        text.replace(at, from.size(), to);
+        kit::writeFile((dir_ / "gateway.yaml").string(), text);
+        config::Mistakes found;
+        config::readSettings((dir_ / "gateway.yaml").string(), found);
+        std::string out;
+        for (const auto& m : found) out += std::filesystem::path(m.file).filename().string() +
+                                           m.text().substr(m.file.size()) + "\n";
+        return out;
+    }
+    std::filesystem::path dir_;
+    std::string text_;
+};
+
+TEST_F(Config, TheExampleIsFineAndEachMistakeIsToldWithItsPlace) {
+    EXPECT_EQ(mistakes("rank: 0", "rank: 0"), "");
+    EXPECT_EQ(mistakes("rank: 0", "rank: 1"), "gateway.yaml:2: host.rank: must be less than 'hosts'\n");
+    EXPECT_EQ(mistakes("127.0.0.1:8730", "0.0.0.0:8730"),
+              "gateway.yaml:3: listen.rsync: '0.0.0.0:8730' is not a loopback address with a port (127.0.0.1:873)\n");
+    EXPECT_NE(mistakes("effect: once", "effect: twice").find("classes[2].effect: 'twice' is not one of: keyed, once, "
+                                                             "repeatable"), std::string::npos);
+    EXPECT_NE(mistakes("plan: basic", "plan: gold").find("volumes[1].plan: no plan is named 'gold'"), std::string::npos);
+    EXPECT_NE(mistakes("limit-burst: 4000", "limit-burst: 3").find("must be at least 16 units"), std::string::npos);
+    EXPECT_NE(mistakes("connections: 256", "conections: 256").find("unknown key; known here: client-idle-s"),
+              std::string::npos);
+    EXPECT_NE(mistakes("memory: 96MiB", "memory: lots").find("caps.memory: 'lots' is not a size"), std::string::npos);
+    EXPECT_NE(mistakes("write: upload", "write: view").find("operations.write: needs a class that writes"),
+              std::string::npos);
+    EXPECT_NE(mistakes("number: 2", "number: 1").find("volumes[1].number: is there twice"), std::string::npos);
+    EXPECT_NE(mistakes("host: {", "host: [").find("gateway.yaml:"), std::string::npos);
+    const auto both = mistakes("read: view, large-read: export", "read: vew, large-read: exprt");
+    EXPECT_EQ(std::count(both.begin(), both.end(), '\n'), 2);  // all at once
+}
+
+TEST_F(Config, SecretsThatOthersMayReadAreRefused) {
+    kit::writeFile((dir_ / "secrets").string(), "ann:word\n", 0644);
+    const auto out = mistakes("plan: basic, ", "plan: basic, secrets-file: secrets, ");
+    EXPECT_NE(out.find("its mode must be 600 or 400"), std::string::npos) << out;
+    kit::writeFile((dir_ / "secrets").string(), "ann word\n", 0600);
+    EXPECT_NE(mistakes("plan: basic, ", "plan: basic, secrets-file: secrets, ").find("line 1: wants user:password"),
+              std::string::npos);
+}
+
+}  // namespace
+}  // namespace spokewheel
