--- a/apps/spokewheel.cpp
+++ b/apps/spokewheel.cpp
@@ -1,8 +1,13 @@
 // The command: subcommands for operators. Argument parsing and wiring only.
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <cstdio>
+#include <exception>
+#include <filesystem>
 
 #include "config/settings.hpp"
+#include "kit/bad_day.hpp"
 
 namespace {
 
@@ -21,6 +26,25 @@
     return 0;
 }
 
+int playBadDay(std::uint64_t seed, int rounds, const std::string& bin) {
+    spokewheel::kit::BadDaySettings s;
+    s.bin = bin;
+    const auto name = "spokewheel-bad-day-" + std::to_string(getpid());
+    s.directory = (std::filesystem::temp_directory_path() / name).string();
+    s.seed = seed;
+    s.rounds = rounds;
+    s.progress = [](const std::string& words) {
+        std::printf("  %s\n", words.c_str());
+        std::fflush(stdout);
+    };
+    const auto r = spokewheel::kit::badDay(s);
+    std::printf("%s", spokewheel::kit::tell(r.verdicts, r.fromUs).c_str());
+    std::printf("uploads %zu of %zu fine, downloads %zu of %zu, single reads %zu of %zu; wrong files %zu\n",
+                r.pushesFine, r.pushes, r.pullsFine, r.pulls, r.fetchesFine, r.fetches, r.halfFiles);
+    if (!r.fault.empty()) std::printf("not judged: %s\n", r.fault.c_str());
+    return r.fault.empty() && r.halfFiles == 0 && !spokewheel::kit::anyBroken(r.verdicts) ? 0 : 1;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -30,6 +54,18 @@
     std::string file;
     auto* checking = app.add_subcommand("check", "reads settings and the node list, and tells every mistake");
     checking->add_option("file", file, "settings (YAML)")->required();
+    std::uint64_t seed = 1;
+    int rounds = 1;
+    auto* badDay = app.add_subcommand("bad-day", "three hosts and six nodes on a scripted bad day, judged");
+    badDay->add_option("--seed", seed);
+    badDay->add_option("--rounds", rounds, "how often the script is played")->check(CLI::Range(1, 100));
     CLI11_PARSE(app, argc, argv);
-    return check(file);
+    if (!*badDay) return check(file);
+    try {
+        return playBadDay(seed, rounds,
+                          std::filesystem::read_symlink("/proc/self/exe").parent_path().string());
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "spokewheel: %s\n", e.what());
+        return 1;
+    }
 }
--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -61,7 +61,9 @@
   install(TARGETS ${name} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
 endfunction()
 spokewheel_program(spokewheeld apps/spokewheeld.cpp sw_daemon)
-spokewheel_program(spokewheel-cli apps/spokewheel.cpp sw_config)
+spokewheel_layer(kit DIRS kit
+  SOURCES kit/process.cpp kit/fleet.cpp kit/judge.cpp kit/rsync_client.cpp kit/bad_day.cpp
+  LINKS sw_wire_rsync)
+spokewheel_program(spokewheel-cli apps/spokewheel.cpp sw_config sw_kit)
 set_target_properties(spokewheel-cli PROPERTIES OUTPUT_NAME spokewheel)
 spokewheel_program(spokewheel-standin apps/standin.cpp sw_standins)
-spokewheel_layer(kit DIRS kit SOURCES kit/process.cpp kit/fleet.cpp)
--- /dev/null
+++ b/kit/bad_day.cpp
@@ -0,0 +1,247 @@
+#include "kit/bad_day.hpp"
+
+#include <atomic>
+#include <filesystem>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "kit/fleet.hpp"
+#include "kit/rsync_client.hpp"
+
+namespace spokewheel::kit {
+namespace {
+
+namespace fs = std::filesystem;
+constexpr int kHosts = 3, kNodes = 6, kFiles = 60;
+constexpr double kViewMs = 2000, kNodeUnitsPerS = 250;
+
+// What a file holds is made from its name, so that any copy of it can be checked.
+std::string contentOf(const std::string& name) {
+    std::seed_seq seed(name.begin(), name.end());
+    std::mt19937 random(seed);
+    std::string out(200 + random() % 60000, '\0');
+    for (auto& c : out) c = static_cast<char>(random());
+    return out;
+}
+
+class Day {
+  public:
+    explicit Day(const BadDaySettings& s) : s_(s), random_(s.seed), fleet_(s.bin, s.directory + "/fleet") {
+        fs::create_directories(s.directory + "/up");
+    }
+    BadDayResult play() {
+        raise();
+        std::vector<std::thread> clients;
+        for (int r = 0; r < kHosts; ++r) {
+            clients.emplace_back([this, r] { pushes(r); });
+            clients.emplace_back([this, r] { pulls(r); });
+            clients.emplace_back([this, r] { fetches(r); });
+        }
+        for (int i = 0; i < s_.rounds; ++i) script(i);
+        stopping_ = true;
+        for (auto& c : clients) c.join();
+        fleet_.stopHost(0), fleet_.stopHost(1), fleet_.stopHost(2);
+        collect();
+        return std::move(result_);
+    }
+
+  private:
+    void say(const std::string& words) {
+        if (s_.progress) s_.progress(words);
+    }
+    void note(Record r) {
+        const std::lock_guard lock(mutex_);
+        records_.push_back(std::move(r));
+    }
+    void raise() {
+        for (int n = 0; n < kNodes; ++n)
+            fleet_.startNode(n, {n, {"--base-ms", "4", "--cores", "2", "--queue", "32", "--cold-ms", "2000"}});
+        fleet_.writeList();
+        fleet_.losePeerMessages(kHosts, s_.seed, 0);
+        HostOptions o;
+        o.classes = "\n  - {name: view, effect: repeatable, aim-ms: 300, deadline-ms: 2000, points: 2}"
+                    "\n  - {name: upload, effect: once, writes: true, in-order: true, aim-ms: 500, deadline-ms: 3000, points: 3}\n";
+        o.extra = "rules:\n  drain-grace-ms: 1000\n"
+                  "  cold: {units: 16, ms: 2000, share: 0.2, multiple: 2, fall-ms: 1000}\n"
+                  "  budget: {floor: 3, share: 0.1, span-ms: 5000}\n";
+        options_ = o;
+        for (int r = 0; r < kHosts; ++r) fleet_.startHost(r, kHosts, o);
+        for (int i = 0; i < kFiles; ++i) {
+            const auto name = "f" + std::to_string(i);
+            writeFile(s_.directory + "/up/" + name, contentOf(name));
+        }
+        result_.fromUs = monotonicUs();
+        for (const auto* v : {"maps/", "narrow/"})
+            if (fleet_.rsync({"-rt", s_.directory + "/up/", fleet_.url(0, v)}).status != 0)
+                throw std::runtime_error("the first upload failed");
+        for (int r = 1; r < kHosts; ++r)
+            if (!waitUntil(10, [&] { return RsyncClient(fleet_.rsyncPort(r), "narrow/", 5).files().size() > kFiles; }))
+                throw std::runtime_error("a host does not see the first upload");
+    }
+    const char* volume(std::size_t n) const { return n % 3 ? "maps/" : "narrow/"; }
+
+    void pushes(int r) {
+        for (std::size_t n = 0; !stopping_; ++n) {
+            const auto name = "h" + std::to_string(r) + "-" + std::to_string(n);
+            const auto file = s_.directory + "/" + name;
+            writeFile(file, contentOf(name));
+            // A client whose host is gone, or which was refused, comes again: here or at the next host.
+            bool fine = false;
+            for (int host = r, tries = 0; tries < 3 && !fine && !stopping_; ++tries, host = (host + 1) % kHosts) {
+                ++pushes_;
+                fine = fleet_.rsync({"-t", file, fleet_.url(host, volume(n))}, 20).status == 0;
+                pushesFine_ += fine;
+            }
+            fs::remove(file);
+            ++steps_;
+        }
+    }
+    void pulls(int r) {
+        const auto to = s_.directory + "/down" + std::to_string(r);
+        for (std::size_t n = 0; !stopping_; ++n) {
+            ++pulls_;
+            const auto run = fleet_.rsync({"-rt", "--timeout=20", fleet_.url(r, volume(n)) + "f" + std::to_string(n % 6) + "*",
+                                           to + "/"}, 40);
+            pullsFine_ += run.status == 0;
+            // Its host is down: comes again a little later.
+            if (run.status == 10) waitUntil(0.1, [this] { return stopping_.load(); });
+            if (fs::exists(to))
+                for (const auto& f : fs::directory_iterator(to))
+                    if (readFile(f.path().string()) != contentOf(f.path().filename().string())) ++halfFiles_;
+            fs::remove_all(to);
+            ++steps_;
+        }
+    }
+    void fetches(int r) {
+        for (std::size_t n = 0; !stopping_; ++n) try {
+                RsyncClient client(fleet_.rsyncPort(r), volume(n), 10);
+                if (!client.ready()) throw std::runtime_error("not served");
+                for (std::size_t i = 0; i < client.files().size() && i < 30 && !stopping_; ++i) {
+                    if (!client.files()[i].isFile()) continue;
+                    Record took;
+                    took.kind = Record::Kind::Took;
+                    took.host = std::to_string(r);
+                    took.request = "client" + std::to_string(r) + "-" + std::to_string(n) + "-" + std::to_string(i);
+                    took.withinMs = kViewMs;
+                    const auto f = client.fetch(static_cast<std::int32_t>(i));
+                    took.us = f.askedUs;
+                    note(took);
+                    ++fetches_;
+                    ++steps_;
+                    if (f.end == RsyncClient::Fetched::End::Lost) break;  // no end: judged with the host's death
+                    took.kind = Record::Kind::Ended;
+                    took.us = f.endedUs;
+                    note(took);
+                    const bool fine = f.end == RsyncClient::Fetched::End::Content;
+                    fetchesFine_ += fine;
+                    if (fine && f.content != contentOf(client.files()[i].name)) ++halfFiles_;
+                }
+            } catch (const std::exception&) {  // its host is down: comes again
+                waitUntil(0.1, [this] { return stopping_.load(); });
+            }
+    }
+
+    // Each step follows once the clients got so much further, so that a slow machine plays the same day.
+    void after(std::size_t steps) {
+        const auto from = steps_.load();
+        const auto more = steps + random_() % (steps / 4 + 1);
+        waitUntil(15, [&] { return steps_ >= from + more; });
+    }
+    void list(const std::map<int, std::string>& states) {
+        fleet_.writeList(states);
+        for (int n = 0; n < kNodes; ++n) {
+            const auto s = states.find(n);
+            Record r;
+            r.kind = Record::Kind::Listed;
+            r.us = monotonicUs();
+            r.node = fleet_.nodeAddress(n);
+            r.words = s == states.end() ? "ready" : s->second;
+            note(r);
+        }
+    }
+    void script(int round) {
+        const int silent = static_cast<int>(random_() % 2), drained = 2, dying = 3 + static_cast<int>(random_() % 2);
+        const int host = static_cast<int>(random_() % kHosts);
+        const auto when = "round " + std::to_string(round) + ": ";
+        after(60);
+        say(when + "peer messages lost, one in three");
+        fleet_.losePeerMessages(kHosts, s_.seed, 0.33);
+        say(when + "node " + std::to_string(silent) + " falls silent");
+        fleet_.control(silent, "/faults?silent=1");
+        after(40);
+        say(when + "node " + std::to_string(drained) + " drains");
+        list({{drained, "draining"}});
+        after(60);
+        fleet_.killNode(drained, true);
+        list({{drained, "absent"}});
+        say(when + "node " + std::to_string(silent) + " answers again");
+        fleet_.control(silent, "/clear");
+        after(60);
+        say(when + "node " + std::to_string(drained) + " comes back cold");
+        fleet_.startNode(drained);
+        list({});
+        after(60);
+        say(when + "node " + std::to_string(dying) + " dies, the list is behind");
+        fleet_.killNode(dying, true);
+        after(60);
+        fleet_.startNode(dying);
+        list({});
+        say(when + "host " + std::to_string(host) + " is killed");
+        Record killed;
+        killed.kind = Record::Kind::Killed;
+        killed.host = std::to_string(host);
+        fleet_.killHost(host);
+        killed.us = monotonicUs();
+        note(killed);
+        after(40);
+        say(when + "host " + std::to_string(host) + " starts again");
+        fleet_.startHost(host, kHosts, options_);
+        fleet_.losePeerMessages(kHosts, s_.seed, 0);
+        after(60);
+    }
+
+    void collect() {
+        for (int n = 0; n < kNodes; ++n) {
+            fleet_.killNode(n, true);
+            auto trace = parseTrace(readFile(fleet_.traceOf(n)));
+            if (!trace.fault.empty() && result_.fault.empty())
+                result_.fault = "record of node " + std::to_string(n) + ": " + trace.fault;
+            records_.insert(records_.end(), trace.records.begin(), trace.records.end());
+        }
+        result_.pushes = pushes_, result_.pushesFine = pushesFine_, result_.pulls = pulls_;
+        result_.pullsFine = pullsFine_, result_.fetches = fetches_, result_.fetchesFine = fetchesFine_;
+        result_.halfFiles = halfFiles_;
+        RuleFigures f;
+        f.classes = {{"view", {false, false}}, {"upload", {true, true}}};
+        f.volumes = {{1, {}}, {2, {100, 400, 8}}};
+        f.coldMs = 2000, f.coldUnits = 16, f.nodeUnitsPerS = kNodeUnitsPerS;
+        f.extraFloor = 3, f.extraShare = 0.1, f.extraSpanMs = 5000;
+        result_.verdicts = judge(std::move(records_), f);
+    }
+
+    BadDaySettings s_;
+    std::mt19937_64 random_;
+    Fleet fleet_;
+    HostOptions options_;
+    std::mutex mutex_;
+    std::vector<Record> records_;
+    std::atomic<bool> stopping_{false};
+    std::atomic<std::size_t> steps_{0}, pushes_{0}, pushesFine_{0}, pulls_{0}, pullsFine_{0}, fetches_{0},
+        fetchesFine_{0}, halfFiles_{0};
+    BadDayResult result_;
+};
+
+}  // namespace
+
+BadDayResult badDay(const BadDaySettings& settings) {
+    BadDayResult out;
+    {
+        Day day(settings);
+        out = day.play();
+    }
+    fs::remove_all(settings.directory);
+    return out;
+}
+
+}  // namespace spokewheel::kit
--- a/kit/fleet.cpp
+++ b/kit/fleet.cpp
@@ -2,15 +2,19 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <random>
 #include <sstream>
 #include <stdexcept>
+#include <thread>
 
 namespace spokewheel::kit {
 namespace {
@@ -24,6 +28,14 @@
   - {name: limited, nominal: 50, reservation: 20, limit: 100, limit-burst: 400, slack: 8}
 )";
 
+sockaddr_in loopback(int port) {
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    a.sin_port = htons(static_cast<uint16_t>(port));
+    return a;
+}
+
 // A free UDP port of the moment: peers must know each other's before any of them starts.
 int freeUdpPort() {
     const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
@@ -40,6 +52,65 @@
 
 }  // namespace
 
+// One socket a host: what comes in for it goes on to it, or is lost.
+struct Fleet::Relay {
+    std::map<int, int> ports;                  // by rank: where the others send
+    std::vector<std::pair<int, int>> sockets;  // descriptor, port to pass on to
+    std::mt19937_64 random;
+    std::atomic<double> share{0};
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+    explicit Relay(std::uint64_t seed) : random(seed) {}
+    ~Relay() {
+        stopping = true;
+        if (thread.joinable()) thread.join();
+        for (const auto& [fd, to] : sockets) close(fd);
+    }
+    void run() {
+        std::vector<pollfd> polled;
+        for (const auto& [fd, to] : sockets) polled.push_back({fd, POLLIN, 0});
+        char buffer[2048];
+        while (!stopping) {
+            if (poll(polled.data(), polled.size(), 20) <= 0) continue;
+            for (std::size_t i = 0; i < polled.size(); ++i) {
+                if (!(polled[i].revents & POLLIN)) continue;
+                const auto n = recv(polled[i].fd, buffer, sizeof buffer, 0);
+                const double drawn = static_cast<double>(random() >> 11) / 9007199254740992.0;
+                if (n <= 0 || drawn < share) continue;
+                const auto a = loopback(sockets[i].second);
+                sendto(polled[i].fd, buffer, static_cast<std::size_t>(n), 0,
+                       reinterpret_cast<const sockaddr*>(&a), sizeof a);
+            }
+        }
+    }
+};
+
+void Fleet::losePeerMessages(int hosts, std::uint64_t seed, double share) {
+    if (!relay_) {
+        relay_ = std::make_unique<Relay>(seed);
+        for (int r = 0; r < hosts; ++r) {
+            if (!peerPorts_.count(r)) peerPorts_[r] = freeUdpPort();
+            relay_->ports[r] = freeUdpPort();
+            const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+            const auto a = loopback(relay_->ports[r]);
+            if (bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0)
+                throw std::runtime_error("no port for the relay");
+            relay_->sockets.emplace_back(fd, peerPorts_[r]);
+        }
+        relay_->thread = std::thread([this] { relay_->run(); });
+    }
+    relay_->share = share;
+}
+
+void Fleet::killNode(int n, bool inOrder) {
+    auto& p = nodes_.at(n).process;
+    if (inOrder) {
+        p.signal(SIGTERM);
+        p.wait(5);
+    }
+    p.kill();
+}
+
 Fleet::Fleet(std::string bin, std::string directory)
     : bin_(std::move(bin)), directory_(std::move(directory)) {
     std::filesystem::create_directories(directory_);
@@ -134,9 +205,11 @@
                                     : options.volumes;
     if (hosts > 1) {
         text += "\npeers:\n  key-file: peers.key\n  hosts:\n";
-        for (const auto& [r, port] : peerPorts_)
-            text += "    - {rank: " + std::to_string(r) + ", address: \"127.0.0.1:" + std::to_string(port) +
+        for (const auto& [r, port] : peerPorts_) {
+            const int to = relay_ ? relay_->ports.at(r) : port;
+            text += "    - {rank: " + std::to_string(r) + ", address: \"127.0.0.1:" + std::to_string(to) +
                     "\"}\n";
+        }
     }
     text += "\nlog: {file: host" + std::to_string(rank) + ".log, level: debug}\n" + options.extra;
     const auto file = directory_ + "/host" + std::to_string(rank) + ".yaml";
--- a/kit/fleet.hpp
+++ b/kit/fleet.hpp
@@ -25,7 +25,8 @@
     ~Fleet();
 
     void startNode(int n, const NodeOptions& options = {});
-    void killNode(int n) { nodes_.at(n).process.kill(); }
+    // In order: it ends its record first. Its work and connections are lost all the same.
+    void killNode(int n, bool inOrder = false);
     int nodePort(int n) const { return nodes_.at(n).port; }
     std::string nodeAddress(int n) const { return "127.0.0.1:" + std::to_string(nodePort(n)); }
     bool control(int n, const std::string& target);  // POST to the node's control port
@@ -37,6 +38,8 @@
     // Writes the list; states other than "ready" by node number. Nodes not started are left out.
     void writeList(const std::map<int, std::string>& states = {});
 
+    // Puts a relay between the hosts that loses this share of their messages, by seed. Before the first host.
+    void losePeerMessages(int hosts, std::uint64_t seed, double share);
     void startHost(int rank, int hosts = 1, const HostOptions& options = {});
     void killHost(int rank) { hosts_.at(rank).process.kill(); }
     int stopHost(int rank, double seconds = 15);
@@ -62,7 +65,9 @@
     std::string bin_, directory_;
     std::map<int, Node> nodes_;
     std::map<int, Host> hosts_;
+    struct Relay;
     std::map<int, int> peerPorts_;
+    std::unique_ptr<Relay> relay_;
     int listVersion_ = 0;
 };
 
--- a/src/host/exchange.hpp
+++ b/src/host/exchange.hpp
@@ -20,6 +20,13 @@
     std::uint64_t mostAnswer = 0;  // bytes; a longer answer counts as an error of the node
 };
 
+// What the node is told of an attempt, beside what is asked of it: for its records and for who reads them.
+struct Label {
+    std::string request;
+    int attempt = 0;
+    std::string text;  // class, volume, units and key
+};
+
 struct AttemptResult {
     Outcome outcome = Outcome::NoAnswer;
     int status = 0;  // of HTTP; 0 where no answer came
@@ -35,7 +42,7 @@
     // Starts an attempt. `done` comes once, from the loop and never from within send(). After `expireInMs`
     // the attempt is called off by closing its connection, and ends as NoAnswer.
     virtual std::uint64_t send(const std::string& node, std::shared_ptr<const Exchange> exchange,
-                               double expireInMs, Done done) = 0;
+                               const Label& label, double expireInMs, Done done) = 0;
     virtual void cancel(std::uint64_t attempt) = 0;  // ends as CalledOff
     // A probe: done with the time it took.
     virtual void probe(const std::string& node, Done done) = 0;
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -108,8 +108,13 @@
     ++r.out;
     const double until = a.expireAtMs > 0 ? std::min(a.expireAtMs, r.deadline) : r.deadline;
     if (edges_.note) edges_.note("attempt", a.id, a.node, std::to_string(attempt));
+    char units[32];
+    std::snprintf(units, sizeof units, "%g", r.work.units);
+    const Label label{a.id, attempt,
+                      "class=" + r.work.requestClass + ";volume=" + std::to_string(r.work.volume) +
+                          ";units=" + units + ";key=" + std::to_string(r.work.key)};
     const auto send =
-        edges_.nodes->send(a.node, r.work.exchange, until - io::nowMs(),
+        edges_.nodes->send(a.node, r.work.exchange, label, until - io::nowMs(),
                            [this, alive = alive_, id = a.id, attempt, node = a.node](AttemptResult result) {
                                if (*alive) onResult(id, attempt, node, std::move(result));
                            });
--- a/src/nodes/feed.cpp
+++ b/src/nodes/feed.cpp
@@ -59,7 +59,7 @@
                 "&epoch=" + f.epoch;
     x->mostAnswer = settings_.mostAnswer;
     f.open = true;
-    client_.send(node, std::move(x), settings_.waitMs + 5000,
+    client_.send(node, std::move(x), {}, settings_.waitMs + 5000,
                  [this, node](host::AttemptResult result) { onAnswer(node, std::move(result)); });
 }
 
--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -21,6 +21,7 @@
 struct NodeClient::Flight {
     std::string node;
     std::shared_ptr<const Exchange> exchange;
+    host::Label label;
     Done done;
     double startedAt = 0;
     LinkPtr link;
@@ -62,12 +63,13 @@
 }
 
 std::uint64_t NodeClient::send(const std::string& node, std::shared_ptr<const Exchange> exchange,
-                               double expireInMs, Done done) {
+                               const host::Label& label, double expireInMs, Done done) {
     const auto id = ++nextId_;
     auto& f = flights_[id];
     f = std::make_unique<Flight>();
     f->node = node;
     f->exchange = std::move(exchange);
+    f->label = label;
     f->done = std::move(done);
     f->startedAt = io::nowMs();
     f->expiry.arm(expireInMs, [this, id] {
@@ -143,6 +145,9 @@
     if (x.method == "HEAD") link->parser.expectNoBody();
     auto fields = x.fields;
     if (!sender_.empty()) fields.emplace_back("Spokewheel-Host", sender_);
+    if (!f.label.request.empty())
+        fields.emplace_back("Spokewheel-Attempt", "id=" + f.label.request + ";n=" +
+                                                      std::to_string(f.label.attempt) + ";" + f.label.text);
     const bool body = x.body != nullptr;
     link->wroteBefore = link->connection->wrote();
     link->connection->write(
@@ -235,7 +240,7 @@
     x->method = "GET";
     x->target = "/load";
     x->mostAnswer = 4096;
-    send(node, std::move(x), 1000, std::move(done));
+    send(node, std::move(x), {}, 1000, std::move(done));
 }
 
 }  // namespace spokewheel::nodes
--- a/src/nodes/node_client.hpp
+++ b/src/nodes/node_client.hpp
@@ -29,7 +29,7 @@
     ~NodeClient() override;
 
     std::uint64_t send(const std::string& node, std::shared_ptr<const host::Exchange> exchange,
-                       double expireInMs, Done done) override;
+                       const host::Label& label, double expireInMs, Done done) override;
     void cancel(std::uint64_t attempt) override;
     void probe(const std::string& node, Done done) override;
 
--- a/standins/storage_node.cpp
+++ b/standins/storage_node.cpp
@@ -50,9 +50,11 @@
     control_ = std::make_unique<HttpServer>(
         control, HttpServer::Handler{[this](Request r) { onControl(std::move(r)); }, {}});
     name_ = at.host + ":" + std::to_string(server_->port());
+    trace("start", {});
 }
 
 StorageNode::~StorageNode() {
+    trace("end", {});  // a record without it was cut off
     if (data_) std::fclose(data_);
     if (trace_) std::fclose(trace_);
 }
@@ -97,11 +99,14 @@
 void StorageNode::trace(const char* event, const Request& r, int status) {
     if (!trace_) return;
     const auto* host = r.head.find("Spokewheel-Host");
+    const auto* attempt = r.head.find("Spokewheel-Attempt");
     std::fprintf(trace_,
-                 "{\"us\":%lld,\"node\":%s,\"event\":\"%s\",\"method\":%s,\"target\":%s,\"host\":%s,"
-                 "\"connection\":%llu,\"bytes\":%zu,\"status\":%d}\n",
-                 static_cast<long long>(g_get_monotonic_time()), json(name_).c_str(), event,
-                 json(r.head.method).c_str(), json(r.path).c_str(), json(host ? *host : "").c_str(),
+                 "{\"line\":%llu,\"us\":%lld,\"node\":%s,\"event\":\"%s\",\"method\":%s,"
+                 "\"target\":%s,\"host\":%s,\"attempt\":%s,\"connection\":%llu,\"bytes\":%zu,"
+                 "\"status\":%d}\n",
+                 static_cast<unsigned long long>(++traced_), static_cast<long long>(g_get_monotonic_time()),
+                 json(name_).c_str(), event, json(r.head.method).c_str(), json(r.path).c_str(),
+                 json(host ? *host : "").c_str(), json(attempt ? *attempt : "").c_str(),
                  static_cast<unsigned long long>(r.connection), r.body.size(), status);
     std::fflush(trace_);
 }
