--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -41,7 +41,8 @@
   SOURCES src/catalogue/file_version.cpp src/catalogue/catalogue.cpp LINKS sw_wire_http PkgConfig::XXHASH)
 spokewheel_layer(nodes DIRS src/nodes SOURCES src/nodes/node_client.cpp src/nodes/feed.cpp
   LINKS sw_host sw_catalogue sw_wire_http)
-spokewheel_layer(registry DIRS src/registry SOURCES src/registry/list_file.cpp LINKS sw_config sw_io)
+spokewheel_layer(registry DIRS src/registry SOURCES src/registry/list_file.cpp src/registry/list_http.cpp
+  LINKS sw_config sw_io sw_wire_http)
 spokewheel_layer(peers DIRS src/peers SOURCES src/peers/peer_link.cpp LINKS sw_wire_peer sw_io)
 spokewheel_layer(fronts DIRS src/fronts
   SOURCES src/fronts/store.cpp src/fronts/rsync/channel.cpp src/fronts/rsync/listing.cpp
@@ -50,7 +51,7 @@
   LINKS sw_host sw_catalogue sw_config sw_wire_rsync)
 spokewheel_layer(daemon DIRS src/daemon SOURCES src/daemon/daemon.cpp
   LINKS sw_fronts sw_nodes sw_registry sw_peers sw_log)
-spokewheel_layer(standins DIRS standins SOURCES standins/http_server.cpp standins/storage_node.cpp
+spokewheel_layer(standins DIRS standins SOURCES standins/http_server.cpp standins/storage_node.cpp standins/registry.cpp
   LINKS sw_wire_http sw_io)
 
 function(spokewheel_program name source)
--- a/kit/bad_day.cpp
+++ b/kit/bad_day.cpp
@@ -56,15 +56,19 @@
     }
     void raise() {
         for (int n = 0; n < kNodes; ++n)
-            fleet_.startNode(n, {n, {"--base-ms", "4", "--cores", "2", "--queue", "32", "--cold-ms", "2000"}});
+            fleet_.startNode(n,
+                             {n, {"--base-ms", "4", "--cores", "2", "--queue", "32", "--cold-ms", "2000"}});
         fleet_.writeList();
         fleet_.losePeerMessages(kHosts, s_.seed, 0);
         HostOptions o;
-        o.classes = "\n  - {name: view, effect: repeatable, aim-ms: 300, deadline-ms: 2000, points: 2}"
-                    "\n  - {name: upload, effect: once, writes: true, in-order: true, aim-ms: 500, deadline-ms: 3000, points: 3}\n";
-        o.extra = "rules:\n  drain-grace-ms: 1000\n"
-                  "  cold: {units: 16, ms: 2000, share: 0.2, multiple: 2, fall-ms: 1000}\n"
-                  "  budget: {floor: 3, share: 0.1, span-ms: 5000}\n";
+        o.classes =
+            "\n  - {name: view, effect: repeatable, aim-ms: 300, deadline-ms: 2000, points: 2}"
+            "\n  - {name: upload, effect: once, writes: true, in-order: true, aim-ms: 500, deadline-ms: "
+            "3000, points: 3}\n";
+        o.extra =
+            "rules:\n  drain-grace-ms: 1000\n"
+            "  cold: {units: 16, ms: 2000, share: 0.2, multiple: 2, fall-ms: 1000}\n"
+            "  budget: {floor: 3, share: 0.1, span-ms: 5000}\n";
         options_ = o;
         for (int r = 0; r < kHosts; ++r) fleet_.startHost(r, kHosts, o);
         for (int i = 0; i < kFiles; ++i) {
@@ -76,7 +80,9 @@
             if (fleet_.rsync({"-rt", s_.directory + "/up/", fleet_.url(0, v)}).status != 0)
                 throw std::runtime_error("the first upload failed");
         for (int r = 1; r < kHosts; ++r)
-            if (!waitUntil(10, [&] { return RsyncClient(fleet_.rsyncPort(r), "narrow/", 5).files().size() > kFiles; }))
+            if (!waitUntil(10, [&] {
+                    return RsyncClient(fleet_.rsyncPort(r), "narrow/", 5).files().size() > kFiles;
+                }))
                 throw std::runtime_error("a host does not see the first upload");
     }
     const char* volume(std::size_t n) const { return n % 3 ? "maps/" : "narrow/"; }
@@ -88,7 +94,8 @@
             writeFile(file, contentOf(name));
             // A client whose host is gone, or which was refused, comes again: here or at the next host.
             bool fine = false;
-            for (int host = r, tries = 0; tries < 3 && !fine && !stopping_; ++tries, host = (host + 1) % kHosts) {
+            for (int host = r, tries = 0; tries < 3 && !fine && !stopping_;
+                 ++tries, host = (host + 1) % kHosts) {
                 ++pushes_;
                 fine = fleet_.rsync({"-t", file, fleet_.url(host, volume(n))}, 20).status == 0;
                 pushesFine_ += fine;
@@ -101,8 +108,10 @@
         const auto to = s_.directory + "/down" + std::to_string(r);
         for (std::size_t n = 0; !stopping_; ++n) {
             ++pulls_;
-            const auto run = fleet_.rsync({"-rt", "--timeout=20", fleet_.url(r, volume(n)) + "f" + std::to_string(n % 6) + "*",
-                                           to + "/"}, 40);
+            const auto run =
+                fleet_.rsync({"-rt", "--timeout=20",
+                              fleet_.url(r, volume(n)) + "f" + std::to_string(n % 6) + "*", to + "/"},
+                             40);
             pullsFine_ += run.status == 0;
             // Its host is down: comes again a little later.
             if (run.status == 10) waitUntil(0.1, [this] { return stopping_.load(); });
@@ -122,14 +131,16 @@
                     Record took;
                     took.kind = Record::Kind::Took;
                     took.host = std::to_string(r);
-                    took.request = "client" + std::to_string(r) + "-" + std::to_string(n) + "-" + std::to_string(i);
+                    took.request =
+                        "client" + std::to_string(r) + "-" + std::to_string(n) + "-" + std::to_string(i);
                     took.withinMs = kViewMs;
                     const auto f = client.fetch(static_cast<std::int32_t>(i));
                     took.us = f.askedUs;
                     note(took);
                     ++fetches_;
                     ++steps_;
-                    if (f.end == RsyncClient::Fetched::End::Lost) break;  // no end: judged with the host's death
+                    if (f.end == RsyncClient::Fetched::End::Lost)
+                        break;  // no end: judged with the host's death
                     took.kind = Record::Kind::Ended;
                     took.us = f.endedUs;
                     note(took);
@@ -161,7 +172,8 @@
         }
     }
     void script(int round) {
-        const int silent = static_cast<int>(random_() % 2), drained = 2, dying = 3 + static_cast<int>(random_() % 2);
+        const int silent = static_cast<int>(random_() % 2), drained = 2,
+                  dying = 3 + static_cast<int>(random_() % 2);
         const int host = static_cast<int>(random_() % kHosts);
         const auto when = "round " + std::to_string(round) + ": ";
         after(60);
--- a/kit/bad_day.hpp
+++ b/kit/bad_day.hpp
@@ -15,7 +15,7 @@
 struct BadDaySettings {
     std::string bin, directory;  // the directory must not exist; it is removed afterwards
     std::uint64_t seed = 1;
-    int rounds = 1;              // of the whole script
+    int rounds = 1;  // of the whole script
     std::function<void(const std::string&)> progress;
 };
 struct BadDayResult {
--- a/kit/fleet.cpp
+++ b/kit/fleet.cpp
@@ -148,6 +148,19 @@
     node.startedMs = again ? std::chrono::duration_cast<std::chrono::milliseconds>(wall).count() : 0;
 }
 
+void Fleet::startRegistry() {
+    const auto name = directory_ + "/registry";
+    std::filesystem::remove(name + ".port");
+    std::vector<std::string> command = {bin_ + "/spokewheel-standin", "registry", "--port-file",
+                                        name + ".port"};
+    if (registry_.port)
+        command.insert(command.end(), {"--listen", "127.0.0.1:" + std::to_string(registry_.port)});
+    registry_.process = Process(command, name + ".out");
+    if (!waitUntil(20, [&] { return std::filesystem::exists(name + ".port"); }))
+        throw std::runtime_error("registry did not start: " + readFile(name + ".out"));
+    std::istringstream(readFile(name + ".port")) >> registry_.port >> registry_.controlPort;
+}
+
 bool Fleet::control(int n, const std::string& target) {
     return http(nodes_.at(n).controlPort, "POST", target).first == 200;
 }
@@ -187,6 +200,7 @@
         text += "}\n";
     }
     writeFile(directory_ + "/nodes.yaml", text);
+    if (registry_.process.running()) http(registry_.controlPort, "PUT", "/nodes", text);
 }
 
 void Fleet::startHost(int rank, int hosts, const HostOptions& options) {
@@ -196,7 +210,11 @@
     std::string text = "host: {hosts: " + std::to_string(hosts) + ", rank: " + std::to_string(rank) + "}\n";
     text += "listen: {rsync: \"127.0.0.1:" + std::to_string(host.port) + "\"";
     if (hosts > 1) text += ", peers: \"127.0.0.1:" + std::to_string(peerPorts_[rank]) + "\"";
-    text += "}\nnodes: {file: nodes.yaml}\nclasses:" + (options.classes.empty() ? kClasses : options.classes);
+    text += "}\nnodes: " +
+            (registry_.port ? "{http: \"127.0.0.1:" + std::to_string(registry_.port) +
+                                  "\"}\nstate-dir: state" + std::to_string(rank)
+                            : std::string("{file: nodes.yaml}")) +
+            "\nclasses:" + (options.classes.empty() ? kClasses : options.classes);
     text += "\noperations: {read: view, write: upload, unit: 64KiB, piece: 256KiB}\nplans:";
     text += options.plans.empty() ? kPlans : options.plans;
     text += "\nvolumes:";
--- a/kit/fleet.hpp
+++ b/kit/fleet.hpp
@@ -35,6 +35,12 @@
     // Lines of the node's trace that hold all of the words.
     std::size_t traced(int n, const std::vector<std::string>& words) const;
     std::size_t tracedAll(const std::vector<std::string>& words) const;
+    // From then on hosts are started with the list over HTTP and a state directory of their own.
+    void startRegistry();
+    void killRegistry() { registry_.process.kill(); }
+    bool controlRegistry(const std::string& target) {
+        return http(registry_.controlPort, "POST", target).first == 200;
+    }
     // Writes the list; states other than "ready" by node number. Nodes not started are left out.
     void writeList(const std::map<int, std::string>& states = {});
 
@@ -65,6 +71,7 @@
     std::string bin_, directory_;
     std::map<int, Node> nodes_;
     std::map<int, Host> hosts_;
+    Node registry_;
     struct Relay;
     std::map<int, int> peerPorts_;
     std::unique_ptr<Relay> relay_;
--- a/kit/process.cpp
+++ b/kit/process.cpp
@@ -158,13 +158,15 @@
 std::string Socket::readAll(std::size_t most) { return read(most); }
 void Socket::shutdownWrite() { shutdown(fd_, SHUT_WR); }
 
-std::pair<int, std::string> http(int port, const std::string& method, const std::string& target) {
+std::pair<int, std::string> http(int port, const std::string& method, const std::string& target,
+                                 const std::string& body) {
     Socket s(port);
-    s.send(method + " " + target + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    s.send(method + " " + target + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body);
     const auto text = s.readAll();
-    const auto body = text.find("\r\n\r\n");
-    if (text.size() < 12 || body == text.npos) return {0, ""};
-    return {std::atoi(text.substr(9, 3).c_str()), text.substr(body + 4)};
+    const auto end = text.find("\r\n\r\n");
+    if (text.size() < 12 || end == text.npos) return {0, ""};
+    return {std::atoi(text.substr(9, 3).c_str()), text.substr(end + 4)};
 }
 
 }  // namespace spokewheel::kit
--- a/kit/process.hpp
+++ b/kit/process.hpp
@@ -60,6 +60,7 @@
     int fd_;
 };
 // One HTTP exchange: status and body.
-std::pair<int, std::string> http(int port, const std::string& method, const std::string& target);
+std::pair<int, std::string> http(int port, const std::string& method, const std::string& target,
+                                 const std::string& body = "");
 
 }  // namespace spokewheel::kit
--- a/src/config/checker.cpp
+++ b/src/config/checker.cpp
@@ -159,10 +159,11 @@
     }
 }
 
-Section open(const std::string& file, Mistakes& mistakes) {
+namespace {
+Section load(const std::function<YAML::Node()>& read, const std::string& file, Mistakes& mistakes) {
     YAML::Node top(YAML::NodeType::Map);
     try {
-        top = YAML::LoadFile(file);
+        top = read();
         if (!top.IsMap()) {
             mistakes.push_back({file, 0, "", "must be a mapping of keys"});
             top = YAML::Node(YAML::NodeType::Map);
@@ -174,5 +175,13 @@
     }
     return Section(top, "", file, mistakes);
 }
+}  // namespace
+
+Section open(const std::string& file, Mistakes& mistakes) {
+    return load([&file] { return YAML::LoadFile(file); }, file, mistakes);
+}
+Section parse(const std::string& text, const std::string& source, Mistakes& mistakes) {
+    return load([&text] { return YAML::Load(text); }, source, mistakes);
+}
 
 }  // namespace spokewheel::config
--- a/src/config/checker.hpp
+++ b/src/config/checker.hpp
@@ -66,6 +66,7 @@
 };
 
 // The top mapping of a file, or mistakes that say why it can't be read.
+Section parse(const std::string& text, const std::string& source, Mistakes& mistakes);
 Section open(const std::string& file, Mistakes& mistakes);
 
 }  // namespace spokewheel::config
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -274,10 +274,9 @@
     return d;
 }
 
-NodeList readNodeList(const std::string& file, Mistakes& mistakes) {
+namespace {
+NodeList listFrom(Section top) {
     NodeList list;
-    auto top = open(file, mistakes);
-    if (!mistakes.empty()) return list;
     list.version = static_cast<std::uint64_t>(top.whole("version", 0, 0, INT64_MAX));
     std::set<std::string> seen;
     top.each("nodes", true, [&](Section& n) {
@@ -297,5 +296,15 @@
     top.finish();
     return list;
 }
+}  // namespace
+
+NodeList readNodeList(const std::string& file, Mistakes& mistakes) {
+    auto top = open(file, mistakes);
+    return mistakes.empty() ? listFrom(std::move(top)) : NodeList();
+}
+NodeList parseNodeList(const std::string& text, const std::string& source, Mistakes& mistakes) {
+    auto top = parse(text, source, mistakes);
+    return mistakes.empty() ? listFrom(std::move(top)) : NodeList();
+}
 
 }  // namespace spokewheel::config
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -50,6 +50,8 @@
     std::uint64_t version = 0;
     std::vector<NodeEntry> entries;
 };
+// The same from text; `source` stands for the file in what is told of mistakes.
+NodeList parseNodeList(const std::string& text, const std::string& source, Mistakes& mistakes);
 NodeList readNodeList(const std::string& file, Mistakes& mistakes);
 
 }  // namespace spokewheel::config
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include <filesystem>
 #include <stdexcept>
 #include <utility>
 
@@ -27,6 +28,7 @@
       log_(settings_.logFile, settings_.logLevel, std::to_string(settings_.module.rank)),
       memory_(settings_.memoryBytes),
       nodes_({settings_.nodeConnections, 32, 15000, 250}, std::to_string(settings_.module.rank)) {
+    if (!settings_.stateDir.empty()) std::filesystem::create_directories(settings_.stateDir);
     // Grows with each start, also where the clock was set back by less than the time between two starts.
     const auto incarnation = static_cast<std::uint64_t>(g_get_real_time());
     const std::uint64_t seed = incarnation * 0x9e3779b97f4a7c15ULL ^ g_random_int();
@@ -36,7 +38,8 @@
         if (peers_) peers_->tell(to, bytes);
     };
     edges.subscribe = edges.fetchList = [this] {
-        if (list_) list_->read();
+        if (listFile_) listFile_->read();
+        if (listHttp_) listHttp_->ask();
     };
     edges.note = [this](const char* event, const std::string& request, const std::string& node,
                         const std::string& words) {
@@ -64,11 +67,16 @@
             log_.event(calm ? Level::Info : Level::Warn, event, {{"session", session}, {"words", words}},
                        io::nowMs());
         }});
-    list_ = std::make_unique<registry::ListFile>(
-        settings_.nodesFile, [this](ListUpdate u) { onList(std::move(u)); },
-        [this](const std::string& words) {
-            log_.event(Level::Error, "node_list_unreadable", {{"words", words}}, io::nowMs());
-        });
+    const auto update = [this](ListUpdate u) { onList(std::move(u)); };
+    const auto fault = [this](const std::string& words) {
+        log_.event(Level::Error, "node_list_fault", {{"words", words}}, io::nowMs());
+    };
+    if (!settings_.nodesFile.empty())
+        listFile_ = std::make_unique<registry::ListFile>(settings_.nodesFile, update, fault);
+    else
+        listHttp_ = std::make_unique<registry::ListHttp>(
+            addressOf(settings_.nodesHttp),
+            settings_.stateDir.empty() ? "" : settings_.stateDir + "/nodes.yaml", seed, update, fault);
     rsync_ = std::make_unique<fronts::rsync::Server>(*context_, addressOf(settings_.listenRsync));
     log_.event(Level::Info, "started", {{"rsync_port", std::to_string(rsync_->port())}}, io::nowMs());
     log_.flush();
@@ -100,7 +108,11 @@
 }
 
 void Daemon::onList(ListUpdate update) {
-    log_.event(Level::Info, "node_list", {{"nodes", std::to_string(update.entries.size())}}, io::nowMs());
+    const char* forms[] = {"changes", "whole", "cached", "failed"};
+    log_.event(
+        Level::Info, "node_list",
+        {{"form", forms[static_cast<int>(update.form)]}, {"nodes", std::to_string(update.entries.size())}},
+        io::nowMs());
     feed_->onList(update);
     host_->onList(std::move(update));
 }
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -13,6 +13,7 @@
 #include "nodes/node_client.hpp"
 #include "peers/peer_link.hpp"
 #include "registry/list_file.hpp"
+#include "registry/list_http.hpp"
 
 namespace spokewheel {
 
@@ -41,7 +42,8 @@
     std::unique_ptr<fronts::Store> store_;
     std::unique_ptr<fronts::rsync::Context> context_;
     std::unique_ptr<fronts::rsync::Server> rsync_;
-    std::unique_ptr<registry::ListFile> list_;
+    std::unique_ptr<registry::ListFile> listFile_;
+    std::unique_ptr<registry::ListHttp> listHttp_;
     io::Timer stopTimer_, pulseTimer_;
     double stoppingSince_ = -1;
 };
--- /dev/null
+++ b/src/registry/list_http.cpp
@@ -0,0 +1,133 @@
+#include "registry/list_http.hpp"
+
+#include <glib.h>
+
+#include <charconv>
+#include <filesystem>
+#include <map>
+
+namespace spokewheel::registry {
+namespace {
+
+constexpr std::size_t kMostBody = 8 * 1024 * 1024;
+
+bool same(const NodeEntry& a, const NodeEntry& b) {
+    return a.node == b.node && a.zone == b.zone && a.lifecycle == b.lifecycle && a.shard == b.shard &&
+           a.cameUpMs == b.cameUpMs;
+}
+
+}  // namespace
+
+std::vector<NodeEntry> changes(const std::vector<NodeEntry>& before, const std::vector<NodeEntry>& after) {
+    std::map<std::string, const NodeEntry*> old;
+    for (const auto& e : before) old[e.node] = &e;
+    std::vector<NodeEntry> out;
+    for (const auto& e : after) {
+        const auto o = old.find(e.node);
+        if (o == old.end() || !same(*o->second, e)) out.push_back(e);
+        if (o != old.end()) old.erase(o);
+    }
+    for (const auto& [node, e] : old) {
+        out.push_back(*e);
+        out.back().lifecycle = Lifecycle::Gone;
+    }
+    return out;
+}
+
+ListHttp::ListHttp(const io::Address& registry, std::string cacheFile, std::uint64_t seed, Update update,
+                   Fault fault)
+    : registry_(registry),
+      cacheFile_(std::move(cacheFile)),
+      update_(std::move(update)),
+      fault_(std::move(fault)),
+      poll_(seed) {
+    if (!cacheFile_.empty() && std::filesystem::exists(cacheFile_)) {
+        config::Mistakes mistakes;
+        auto list = config::readNodeList(cacheFile_, mistakes);
+        if (mistakes.empty()) {
+            known_ = list.entries;
+            update_({ListForm::Cached, std::move(list.entries)});
+        } else fault_("kept list: " + mistakes.front().text());
+    }
+    query();
+}
+
+ListHttp::~ListHttp() {
+    if (connection_) connection_->close();
+}
+
+void ListHttp::ask() {
+    if (!connection_) query();
+}
+
+void ListHttp::query() {
+    timer_.cancel();
+    parser_ = wire::http::Parser(wire::http::Parser::Kind::Response, {16 * 1024, 64, kMostBody});
+    body_.clear();
+    connection_ = io::Connection::dial(registry_);
+    if (!connection_->open()) return failed("registry cannot be reached");
+    connection_->handle({[this] {
+                             connection_->write(wire::http::writeRequest(
+                                 "GET",
+                                 "/nodes?index=" + std::to_string(poll_.index()) +
+                                     "&wait=" + std::to_string(static_cast<int>(Poll::kWaitMs)),
+                                 registry_.text(), {{"Connection", "close"}}, std::nullopt));
+                         },
+                         [this](std::string_view bytes) { onData(bytes); },
+                         {},
+                         [this](io::Closed) { failed("registry closed the connection"); }});
+    timer_.arm(Poll::kWaitMs + Poll::kLateMs, [this] { failed("registry did not answer"); });
+}
+
+void ListHttp::failed(const std::string& words) {
+    if (connection_) connection_->close();
+    connection_.reset();
+    fault_(words);
+    update_({ListForm::Failed, {}});
+    timer_.arm(poll_.againMs(true), [this] { query(); });
+}
+
+void ListHttp::onData(std::string_view bytes) {
+    using Got = wire::http::Parser::Got;
+    std::string_view part;
+    for (;;) switch (parser_.next(bytes, part)) {
+            case Got::More: return;
+            case Got::Head: break;
+            case Got::Body: body_ += part; break;
+            case Got::End: return onAnswer();
+            case Got::Bad: return failed("registry: " + parser_.error());
+        }
+}
+
+void ListHttp::onAnswer() {
+    const auto& head = parser_.head();
+    const auto* text = head.find("X-Index");
+    std::uint64_t index = 0;
+    const bool counted = text && std::from_chars(text->data(), text->data() + text->size(), index).ec == std::errc();
+    if (head.status != 200 || !counted)
+        return failed("registry answered with status " + std::to_string(head.status) +
+                      (counted ? "" : " and no index"));
+    config::Mistakes mistakes;
+    auto list = config::parseNodeList(body_, "list of " + registry_.text(), mistakes);
+    if (!mistakes.empty()) return failed(mistakes.front().text());
+    connection_->close();
+    connection_.reset();
+    keep(body_);
+    if (poll_.answered(index)) update_({ListForm::Full, list.entries});
+    else if (auto changed = changes(known_, list.entries); !changed.empty())
+        update_({ListForm::Delta, std::move(changed)});
+    known_ = std::move(list.entries);
+    timer_.arm(poll_.againMs(false), [this] { query(); });
+}
+
+// Written beside and renamed: a host that dies here finds the old list or the new one.
+void ListHttp::keep(const std::string& text) const {
+    if (cacheFile_.empty()) return;
+    GError* error = nullptr;
+    if (!g_file_set_contents(cacheFile_.c_str(), text.data(), static_cast<gssize>(text.size()), &error)) {
+        fault_(std::string("keeping the list: ") + error->message);
+        g_clear_error(&error);
+    }
+}
+
+}  // namespace spokewheel::registry
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -272,6 +272,36 @@
     EXPECT_EQ(fleet_->traced(0, {"\"arrive\""}), before);
 }
 
+TEST_F(Gateway, ListOverHttpSurvivesTheRegistrysDeathAndLoss) {
+    fleet_->startRegistry();
+    nodes(2);
+    fleet_->startHost(0);
+    const auto logged = [&](const std::string& words) {
+        return waitUntil(10, [&] { return readFile(fleet_->logOf(0)).find(words) != std::string::npos; });
+    };
+    ASSERT_TRUE(logged("\"form\":\"whole\",\"nodes\":\"2\""));
+    make("a", 10, 1);
+    EXPECT_EQ(push(0).status, 0);
+    fleet_->startNode(2, {2, {}});
+    fleet_->writeList();
+    ASSERT_TRUE(logged("\"form\":\"changes\",\"nodes\":\"1\""));
+    // Out of reach: the list that is known goes on; a host that starts now goes by what it kept.
+    fleet_->killRegistry();
+    ASSERT_TRUE(logged("\"form\":\"failed\""));
+    make("b", 10, 2);
+    EXPECT_EQ(push(0).status, 0);
+    fleet_->killHost(0);
+    fleet_->startHost(0);
+    ASSERT_TRUE(logged("\"form\":\"cached\",\"nodes\":\"3\""));
+    ASSERT_TRUE(waitUntil(5, [&] { return listed(0, "b"); }));
+    EXPECT_EQ(pull(0).status, 0);
+    EXPECT_EQ(run({"diff", "-r", up(), at("down")}, 10).status, 0);
+    // It comes back with its index begun anew: taken whole.
+    fleet_->startRegistry();
+    fleet_->writeList({{2, "draining"}});
+    ASSERT_TRUE(logged("\"form\":\"whole\",\"nodes\":\"3\""));
+}
+
 TEST_F(Gateway, GarbageAtEachPhaseEndsThatSessionOnly) {
     nodes(1);
     fleet_->startHost(0);
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -14,6 +14,7 @@
 #include "host/memory.hpp"
 #include "host/reminders.hpp"
 #include "kit/process.hpp"
+#include "registry/list_http.hpp"
 #include "wire/peer/datagram.hpp"
 
 namespace spokewheel {
@@ -29,6 +30,40 @@
     EXPECT_EQ(r.next(), 20);
 }
 
+TEST(RegistryPoll, LossesAreTakenWholeAndFailuresWaitEverLonger) {
+    registry::Poll p(5);
+    EXPECT_TRUE(p.answered(7));
+    EXPECT_FALSE(p.answered(8));
+    EXPECT_TRUE(p.answered(3));  // the registry began anew
+    EXPECT_EQ(p.index(), 0u);
+    EXPECT_EQ(p.againMs(false), 0);
+    double before = 0;
+    for (int i = 0; i < 5; ++i) {
+        const double wait = p.againMs(true), full = registry::Poll::kFirstMs * (1 << i);
+        EXPECT_GE(wait, std::min(registry::Poll::kMostMs, full) / 2);
+        EXPECT_LE(wait, std::min(registry::Poll::kMostMs, full));
+        before = wait;
+    }
+    EXPECT_GT(before, 1000);
+    EXPECT_TRUE(p.answered(9));  // what was missed is not known
+    registry::Poll q(6);
+    EXPECT_NE(registry::Poll(5).againMs(true), q.againMs(true));
+}
+
+TEST(RegistryList, ChangesNameWhatIsGone) {
+    NodeEntry a, b, c;
+    a.node = "a", b.node = "b", c.node = "c";
+    auto drained = b;
+    drained.lifecycle = Lifecycle::Draining;
+    const auto found = registry::changes({a, b}, {drained, c});
+    ASSERT_EQ(found.size(), 3u);
+    EXPECT_EQ(found[0].lifecycle, Lifecycle::Draining);
+    EXPECT_EQ(found[1].node, "c");
+    EXPECT_EQ(found[2].node, "a");
+    EXPECT_EQ(found[2].lifecycle, Lifecycle::Gone);
+    EXPECT_TRUE(registry::changes({a, b}, {b, a}).empty());
+}
+
 TEST(Flow, OnlyAFileUnderwayIsAskedForAgainAndMoreSlowly) {
     fronts::Flow f(8);
     EXPECT_FALSE(f.refused(1, false));
