--- a/apps/spokewheel.cpp
+++ b/apps/spokewheel.cpp
@@ -26,9 +26,13 @@
     return 0;
 }
 
-int playBadDay(std::uint64_t seed, int rounds, const std::string& bin) {
+int playBadDay(const std::string& script, std::uint64_t seed, int rounds, const std::string& bin) {
+    spokewheel::config::Mistakes mistakes;
     spokewheel::kit::BadDaySettings s;
     s.bin = bin;
+    s.script = spokewheel::kit::readScript(script, mistakes);
+    for (const auto& m : mistakes) std::fprintf(stderr, "%s\n", m.text().c_str());
+    if (!mistakes.empty()) return 2;
     const auto name = "spokewheel-bad-day-" + std::to_string(getpid());
     s.directory = (std::filesystem::temp_directory_path() / name).string();
     s.seed = seed;
@@ -56,13 +60,15 @@
     checking->add_option("file", file, "settings (YAML)")->required();
     std::uint64_t seed = 1;
     int rounds = 1;
-    auto* badDay = app.add_subcommand("bad-day", "three hosts and six nodes on a scripted bad day, judged");
+    auto* badDay = app.add_subcommand("bad-day", "plays a script on a fleet and judges it by the traffic");
+    std::string script;
+    badDay->add_option("script", script, "what happens (YAML; kit/scripts has some)")->required();
     badDay->add_option("--seed", seed);
     badDay->add_option("--rounds", rounds, "how often the script is played")->check(CLI::Range(1, 100));
     CLI11_PARSE(app, argc, argv);
     if (!*badDay) return check(file);
     try {
-        return playBadDay(seed, rounds,
+        return playBadDay(script, seed, rounds,
                           std::filesystem::read_symlink("/proc/self/exe").parent_path().string());
     } catch (const std::exception& e) {
         std::fprintf(stderr, "spokewheel: %s\n", e.what());
--- a/kit/bad_day.cpp
+++ b/kit/bad_day.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 namespace fs = std::filesystem;
-constexpr int kHosts = 3, kNodes = 6, kFiles = 60;
+constexpr int kFiles = 60;
 constexpr double kViewMs = 2000, kNodeUnitsPerS = 250;
 
 // What a file holds is made from its name, so that any copy of it can be checked.
@@ -33,15 +33,16 @@
     BadDayResult play() {
         raise();
         std::vector<std::thread> clients;
-        for (int r = 0; r < kHosts; ++r) {
+        for (int r = 0; r < s_.script.hosts; ++r) {
             clients.emplace_back([this, r] { pushes(r); });
-            clients.emplace_back([this, r] { pulls(r); });
+            clients.emplace_back([this, r] { pulls(r, r); });
             clients.emplace_back([this, r] { fetches(r); });
         }
         for (int i = 0; i < s_.rounds; ++i) script(i);
         stopping_ = true;
         for (auto& c : clients) c.join();
-        fleet_.stopHost(0), fleet_.stopHost(1), fleet_.stopHost(2);
+        calm();
+        for (int r = 0; r < s_.script.hosts; ++r) fleet_.stopHost(r);
         collect();
         return std::move(result_);
     }
@@ -55,11 +56,13 @@
         records_.push_back(std::move(r));
     }
     void raise() {
-        for (int n = 0; n < kNodes; ++n)
-            fleet_.startNode(n,
-                             {n, {"--base-ms", "4", "--cores", "2", "--queue", "32", "--cold-ms", "2000"}});
+        for (int n = 0; n < s_.script.nodes; ++n)
+            fleet_.startNode(n, {n,
+                                 {"--base-ms", std::to_string(s_.script.workMs), "--cores", "2", "--queue",
+                                  "32", "--cold-ms", "2000"}});
+        if (s_.script.registry) fleet_.startRegistry();
         fleet_.writeList();
-        fleet_.losePeerMessages(kHosts, s_.seed, 0);
+        fleet_.losePeerMessages(s_.script.hosts, s_.seed, 0);
         HostOptions o;
         o.classes =
             "\n  - {name: view, effect: repeatable, aim-ms: 300, deadline-ms: 2000, points: 2}"
@@ -70,7 +73,7 @@
             "  cold: {units: 16, ms: 2000, share: 0.2, multiple: 2, fall-ms: 1000}\n"
             "  budget: {floor: 3, share: 0.1, span-ms: 5000}\n";
         options_ = o;
-        for (int r = 0; r < kHosts; ++r) fleet_.startHost(r, kHosts, o);
+        for (int r = 0; r < s_.script.hosts; ++r) fleet_.startHost(r, s_.script.hosts, o);
         for (int i = 0; i < kFiles; ++i) {
             const auto name = "f" + std::to_string(i);
             writeFile(s_.directory + "/up/" + name, contentOf(name));
@@ -79,7 +82,7 @@
         for (const auto* v : {"maps/", "narrow/"})
             if (fleet_.rsync({"-rt", s_.directory + "/up/", fleet_.url(0, v)}).status != 0)
                 throw std::runtime_error("the first upload failed");
-        for (int r = 1; r < kHosts; ++r)
+        for (int r = 1; r < s_.script.hosts; ++r)
             if (!waitUntil(10, [&] {
                     return RsyncClient(fleet_.rsyncPort(r), "narrow/", 5).files().size() > kFiles;
                 }))
@@ -95,7 +98,7 @@
             // A client whose host is gone, or which was refused, comes again: here or at the next host.
             bool fine = false;
             for (int host = r, tries = 0; tries < 3 && !fine && !stopping_;
-                 ++tries, host = (host + 1) % kHosts) {
+                 ++tries, host = (host + 1) % s_.script.hosts) {
                 ++pushes_;
                 fine = fleet_.rsync({"-t", file, fleet_.url(host, volume(n))}, 20).status == 0;
                 pushesFine_ += fine;
@@ -104,9 +107,10 @@
             ++steps_;
         }
     }
-    void pulls(int r) {
-        const auto to = s_.directory + "/down" + std::to_string(r);
-        for (std::size_t n = 0; !stopping_; ++n) {
+    void pulls(int r, int name) {
+        const bool burst = name >= 100;
+        const auto to = s_.directory + "/down" + std::to_string(name);
+        for (std::size_t n = 0; !stopping_ && !(burst && calm_); ++n) {
             ++pulls_;
             const auto run =
                 fleet_.rsync({"-rt", "--timeout=20",
@@ -161,60 +165,113 @@
     }
     void list(const std::map<int, std::string>& states) {
         fleet_.writeList(states);
-        for (int n = 0; n < kNodes; ++n) {
+        for (int n = 0; n < s_.script.nodes; ++n) {
             const auto s = states.find(n);
             Record r;
             r.kind = Record::Kind::Listed;
-            r.us = monotonicUs();
+            // Told when it left the registry, which may be later than it was written there.
+            r.us = monotonicUs() + static_cast<std::int64_t>(1000 * behindMs_);
             r.node = fleet_.nodeAddress(n);
             r.words = s == states.end() ? "ready" : s->second;
             note(r);
         }
     }
+    void relist() { list(states_); }
     void script(int round) {
-        const int silent = static_cast<int>(random_() % 2), drained = 2,
-                  dying = 3 + static_cast<int>(random_() % 2);
-        const int host = static_cast<int>(random_() % kHosts);
-        const auto when = "round " + std::to_string(round) + ": ";
-        after(60);
-        say(when + "peer messages lost, one in three");
-        fleet_.losePeerMessages(kHosts, s_.seed, 0.33);
-        say(when + "node " + std::to_string(silent) + " falls silent");
-        fleet_.control(silent, "/faults?silent=1");
-        after(40);
-        say(when + "node " + std::to_string(drained) + " drains");
-        list({{drained, "draining"}});
-        after(60);
-        fleet_.killNode(drained, true);
-        list({{drained, "absent"}});
-        say(when + "node " + std::to_string(silent) + " answers again");
-        fleet_.control(silent, "/clear");
-        after(60);
-        say(when + "node " + std::to_string(drained) + " comes back cold");
-        fleet_.startNode(drained);
-        list({});
-        after(60);
-        say(when + "node " + std::to_string(dying) + " dies, the list is behind");
-        fleet_.killNode(dying, true);
-        after(60);
-        fleet_.startNode(dying);
-        list({});
-        say(when + "host " + std::to_string(host) + " is killed");
-        Record killed;
-        killed.kind = Record::Kind::Killed;
-        killed.host = std::to_string(host);
-        fleet_.killHost(host);
-        killed.us = monotonicUs();
-        note(killed);
-        after(40);
-        say(when + "host " + std::to_string(host) + " starts again");
-        fleet_.startHost(host, kHosts, options_);
-        fleet_.losePeerMessages(kHosts, s_.seed, 0);
-        after(60);
+        Casting casting(s_.script, s_.seed + static_cast<std::uint64_t>(round));
+        for (const auto& step : s_.script.steps) {
+            after(step.after);
+            const int whom = casting.cast(step);
+            const bool about = ofNode(step.deed) || ofHost(step.deed);
+            if (about && whom < 0) continue;
+            say("round " + std::to_string(round) + ": " + nameOf(step.deed) +
+                (about ? (ofNode(step.deed) ? " node " : " host ") + std::to_string(whom) : ""));
+            play(step, whom);
+        }
+        after(s_.script.rest);
+    }
+    void play(const Step& step, int whom) {
+        switch (step.deed) {
+            case Deed::Silence:
+                fleet_.control(whom, "/faults?silent=1");
+                break;
+            case Deed::Deafen:
+                fleet_.control(whom, "/faults?deaf=1");
+                break;
+            case Deed::HalfOpen:
+                fleet_.control(whom, "/faults?half-open=1");
+                break;
+            case Deed::Refuse:
+                fleet_.control(whom, "/faults?refuse=1");
+                break;
+            case Deed::Slow:
+                fleet_.control(whom, "/faults?slow=" + std::to_string(step.by));
+                break;
+            case Deed::Clear:
+                fleet_.control(whom, "/clear");
+                break;
+            case Deed::Drain:
+                states_[whom] = "draining";
+                relist();
+                break;
+            case Deed::Retire:
+                fleet_.killNode(whom, true);
+                states_[whom] = "absent";
+                relist();
+                break;
+            case Deed::Crash:
+                fleet_.killNode(whom, true);
+                break;
+            case Deed::Return:
+                fleet_.startNode(whom);
+                states_.erase(whom);
+                relist();
+                break;
+            case Deed::KillHost: {
+                Record killed;
+                killed.kind = Record::Kind::Killed;
+                killed.host = std::to_string(whom);
+                fleet_.killHost(whom);
+                killed.us = monotonicUs();
+                note(killed);
+                break;
+            }
+            case Deed::StartHost:
+                fleet_.startHost(whom, s_.script.hosts, options_);
+                break;
+            case Deed::LoseMessages:
+                fleet_.losePeerMessages(s_.script.hosts, s_.seed, step.by);
+                break;
+            case Deed::Burst:
+                for (int i = 0; i < static_cast<int>(step.by); ++i)
+                    burst_.emplace_back([this, i] { pulls(i % s_.script.hosts, 100 + i); });
+                break;
+            case Deed::Calm:
+                calm();
+                break;
+            case Deed::ListDown:
+                fleet_.controlRegistry("/faults?down=1");
+                break;
+            case Deed::ListBehind:
+                behindMs_ = step.by;
+                fleet_.controlRegistry("/faults?behind-ms=" + std::to_string(step.by));
+                break;
+            case Deed::ListUp:
+                behindMs_ = 0;
+                fleet_.controlRegistry("/clear");
+                relist();
+                break;
+        }
+    }
+    void calm() {
+        calm_ = true;
+        for (auto& t : burst_) t.join();
+        burst_.clear();
+        calm_ = false;
     }
 
     void collect() {
-        for (int n = 0; n < kNodes; ++n) {
+        for (int n = 0; n < s_.script.nodes; ++n) {
             fleet_.killNode(n, true);
             auto trace = parseTrace(readFile(fleet_.traceOf(n)));
             if (!trace.fault.empty() && result_.fault.empty())
@@ -236,9 +293,12 @@
     std::mt19937_64 random_;
     Fleet fleet_;
     HostOptions options_;
+    std::map<int, std::string> states_;  // of nodes that are not ready
+    std::vector<std::thread> burst_;
+    double behindMs_ = 0;
     std::mutex mutex_;
     std::vector<Record> records_;
-    std::atomic<bool> stopping_{false};
+    std::atomic<bool> stopping_{false}, calm_{false};
     std::atomic<std::size_t> steps_{0}, pushes_{0}, pushesFine_{0}, pulls_{0}, pullsFine_{0}, fetches_{0},
         fetchesFine_{0}, halfFiles_{0};
     BadDayResult result_;
--- a/kit/bad_day.hpp
+++ b/kit/bad_day.hpp
@@ -9,11 +9,13 @@
 #include <vector>
 
 #include "kit/judge.hpp"
+#include "kit/script.hpp"
 
 namespace spokewheel::kit {
 
 struct BadDaySettings {
     std::string bin, directory;  // the directory must not exist; it is removed afterwards
+    Script script;
     std::uint64_t seed = 1;
     int rounds = 1;  // of the whole script
     std::function<void(const std::string&)> progress;
