A pull that passes pieces asks for more; refused requests wait for their turn, not the client

And a file refused at its volume's limit was told to the client as failed (exit 23) though trying again was harmless.

Change: each half names the one thing it waits for, checked at each turn under the tests (SPOKEWHEEL_CHECKS), told as session_stuck in service; the fetch runs again after what was passed, and the first job may always have one piece out. Store is an interface; Patience stands between sessions and store, its order and pace decided in decide_pace.hpp (window in units by the limit's part, halved once per refusal, fair among sessions, gives up where the node and not the pace is the reason). It replaces Flow.

--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -45,7 +45,7 @@
   LINKS sw_config sw_io sw_wire_http)
 spokewheel_layer(peers DIRS src/peers SOURCES src/peers/peer_link.cpp LINKS sw_wire_peer sw_io)
 spokewheel_layer(fronts DIRS src/fronts
-  SOURCES src/fronts/store.cpp src/fronts/rsync/channel.cpp src/fronts/rsync/listing.cpp
+  SOURCES src/fronts/store.cpp src/fronts/patience.cpp src/fronts/rsync/channel.cpp src/fronts/rsync/listing.cpp
           src/fronts/rsync/sending.cpp src/fronts/rsync/receiving.cpp src/fronts/rsync/basis.cpp
           src/fronts/rsync/session.cpp src/fronts/rsync/server.cpp
   LINKS sw_host sw_catalogue sw_config sw_wire_rsync)
--- a/kit/bad_day.cpp
+++ b/kit/bad_day.cpp
@@ -14,7 +14,9 @@
 
 namespace fs = std::filesystem;
 constexpr int kFiles = 60;
-constexpr double kViewMs = 2000, kNodeUnitsPerS = 250;
+// A file has its end within the time that its request may wait for the volume's turn and the class's
+// deadline.
+constexpr double kWaitMs = 2000, kViewMs = 2000, kNodeUnitsPerS = 250;
 
 // What a file holds is made from its name, so that any copy of it can be checked.
 std::string contentOf(const std::string& name) {
@@ -71,7 +73,8 @@
         o.extra =
             "rules:\n  drain-grace-ms: 1000\n"
             "  cold: {units: 16, ms: 2000, share: 0.2, multiple: 2, fall-ms: 1000}\n"
-            "  budget: {floor: 3, share: 0.1, span-ms: 5000}\n";
+            "  budget: {floor: 3, share: 0.1, span-ms: 5000}\n"
+            "caps: {refused-wait-s: 2}\n";
         options_ = o;
         for (int r = 0; r < s_.script.hosts; ++r) fleet_.startHost(r, s_.script.hosts, o);
         for (int i = 0; i < kFiles; ++i) {
@@ -137,7 +140,7 @@
                     took.host = std::to_string(r);
                     took.request =
                         "client" + std::to_string(r) + "-" + std::to_string(n) + "-" + std::to_string(i);
-                    took.withinMs = kViewMs;
+                    took.withinMs = kWaitMs + kViewMs;
                     const auto f = client.fetch(static_cast<std::int32_t>(i));
                     took.us = f.askedUs;
                     note(took);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -261,6 +261,7 @@
     d.filesAhead = static_cast<std::size_t>(caps.whole("files-ahead", 32, 1, 10000));
     d.clientIdleS = caps.number("client-idle-s", 60, 1, 86400);
     d.handshakeS = caps.number("handshake-s", 20, 1, 3600);
+    d.refusedWaitS = caps.number("refused-wait-s", 600, 0, 86400);
     d.stopS = caps.number("stop-s", 10, 0.1, 3600);
     caps.finish();
 
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -35,7 +35,7 @@
     std::uint64_t largeFromBytes = 0, unitBytes = 64 * 1024;
     std::uint64_t pieceBytes = 512 * 1024, memoryBytes = 96 << 20;
     std::size_t piecesAhead = 8, filesAhead = 32, connections = 256, requests = 500, listEntries = 1000000;
-    double clientIdleS = 60, handshakeS = 20, stopS = 10;
+    double clientIdleS = 60, handshakeS = 20, stopS = 10, refusedWaitS = 600;
     std::size_t nodeConnections = 64;
     std::string logFile, logLevel = "info";
     const VolumeSettings* volume(const std::string& name) const;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -76,15 +76,23 @@
             [this](int from, std::string bytes) { host_->onPeer(from, std::move(bytes)); });
         for (const auto& p : settings_.peers) peers_->know(p.rank, addressOf(p.address));
     }
-    store_ = std::make_unique<fronts::Store>(settings_, *host_, catalogue_);
+    store_ = std::make_unique<fronts::NodeStore>(settings_, *host_, catalogue_);
+    const auto after = [](double ms, std::function<void()> then) -> std::shared_ptr<void> {
+        auto timer = std::make_shared<io::Timer>();
+        timer->arm(ms, std::move(then));
+        return timer;
+    };
+    patience_ = std::make_unique<fronts::Patience>(
+        *store_, settings_, [] { return io::nowMs(); }, after);
     context_ = std::make_unique<fronts::rsync::Context>(fronts::rsync::Context{
-        settings_, *store_, memory_, [this] { return feed_->complete(); },
+        settings_, memory_, [this] { return feed_->complete(); },
         [this](const char* event, const std::string& session, const std::string& words) {
             const std::string_view name = event;
             const bool calm = name == "session_started" || name == "client_refused";
             log_.event(calm ? Level::Info : Level::Warn, event, {{"session", session}, {"words", words}},
                        io::nowMs());
-        }});
+        },
+        [this](const fronts::Patience::Bounds& bounds) { return patience_->open(bounds); }, after});
     const auto update = [this](ListUpdate u) { onList(std::move(u)); };
     const auto fault = [this](const std::string& words) {
         log_.event(Level::Error, "node_list_fault", {{"words", words}}, io::nowMs());
@@ -112,6 +120,9 @@
          {"served", std::to_string(c.served)},
          {"refused", std::to_string(c.refused)},
          {"failed", std::to_string(c.failed)},
+         {"held_back", std::to_string(patience_->waiting())},
+         {"made_anew", std::to_string(patience_->counters().anew)},
+         {"gave_up", std::to_string(patience_->counters().gaveUp)},
          {"attempts", std::to_string(c.attempts)},
          {"held_most", std::to_string(c.heldMost)},
          {"memory", std::to_string(memory_.used())},
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -5,6 +5,7 @@
 
 #include "catalogue/catalogue.hpp"
 #include "config/settings.hpp"
+#include "fronts/patience.hpp"
 #include "fronts/rsync/server.hpp"
 #include "fronts/store.hpp"
 #include "host/host.hpp"
@@ -40,6 +41,7 @@
     std::unique_ptr<nodes::Feed> feed_;
     std::unique_ptr<peers::PeerLink> peers_;
     std::unique_ptr<fronts::Store> store_;
+    std::unique_ptr<fronts::Patience> patience_;
     std::unique_ptr<fronts::rsync::Context> context_;
     std::unique_ptr<fronts::rsync::Server> rsync_;
     std::unique_ptr<registry::ListFile> listFile_;
--- a/src/fronts/rsync/basis.cpp
+++ b/src/fronts/rsync/basis.cpp
@@ -9,7 +9,7 @@
 Basis::Basis(Context& context, const Agreed& agreed, catalogue::Shown version, std::function<void()> wake)
     : context_(context), agreed_(agreed), version_(std::move(version)), wake_(std::move(wake)) {}
 Basis::~Basis() {
-    if (loading_) context_.store.abandon(request_);
+    if (loading_) agreed_.store->abandon(request_);
 }
 
 void Basis::prepare() {
@@ -26,7 +26,7 @@
         return next();
     }
     loading_ = true;
-    request_ = context_.store.read(
+    request_ = agreed_.store->read(
         *agreed_.volume, v.shard, "o/" + v.id, kMostManifest, v.size, "",
         [self = weak_from_this()](ReadResult r) {
             const auto b = self.lock();
@@ -89,7 +89,7 @@
     const auto& p = pieces_[piece];
     loading_ = true;
     lease_ = context_.memory.take(p.size);
-    request_ = context_.store.read(*agreed_.volume, p.shard, p.object, p.size, version_->size, p.digest,
+    request_ = agreed_.store->read(*agreed_.volume, p.shard, p.object, p.size, version_->size, p.digest,
                                    [self = weak_from_this(), piece, then = std::move(then)](ReadResult r) {
                                        const auto b = self.lock();
                                        if (!b) return;
--- a/src/fronts/rsync/basis.hpp
+++ b/src/fronts/rsync/basis.hpp
@@ -19,6 +19,7 @@
     ~Basis();
     // Reads the whole and makes the sums; ready() or failed() afterwards.
     void prepare();
+    bool loading() const { return loading_; }  // an answer is on its way
     bool ready() const { return ready_; }
     bool failed() const { return !fault_.empty(); }
     const std::string& fault() const { return fault_; }
--- a/src/fronts/rsync/channel.cpp
+++ b/src/fronts/rsync/channel.cpp
@@ -16,7 +16,7 @@
     }
     if (!paused_ && in_.size() - at_ > kMostUnread) {
         paused_ = true;
-        connection_->pauseReading();
+        pipe_->pauseReading();
     }
     return true;
 }
@@ -29,7 +29,7 @@
     }
     if (paused_ && in_.size() - at_ < kMostUnread / 2) {
         paused_ = false;
-        connection_->resumeReading();
+        pipe_->resumeReading();
     }
 }
 
@@ -42,13 +42,13 @@
     if (!demux_.feed(rest, in_, beside_)) error_ = demux_.error();
 }
 
-void Channel::raw(std::string_view bytes) { connection_->write(std::string(bytes)); }
+void Channel::raw(std::string_view bytes) { pipe_->write(std::string(bytes)); }
 
 void Channel::message(Message kind, std::string_view payload) {
     flush();  // messages keep their place among the data
     std::string frame;
     wire::rsync::putFrame(frame, kind, payload);
-    connection_->write(std::move(frame));
+    pipe_->write(std::move(frame));
 }
 
 // A frame a literal: frame head, length of the literal, bytes. The client takes literals of any length.
@@ -61,7 +61,7 @@
         wire::rsync::putFrameHead(frame, Message::Data, n + 4);
         wire::rsync::putU32(frame, static_cast<std::uint32_t>(n));
         frame += bytes.substr(0, n);
-        connection_->write(std::move(frame));
+        pipe_->write(std::move(frame));
         bytes.remove_prefix(n);
     }
 }
@@ -69,7 +69,7 @@
 void Channel::flush() {
     if (out_.empty()) return;
     if (!framed_) {
-        connection_->write(std::exchange(out_, {}));
+        pipe_->write(std::exchange(out_, {}));
         return;
     }
     std::string frames;
@@ -80,7 +80,7 @@
         rest.remove_prefix(n);
     }
     out_.clear();
-    connection_->write(std::move(frames));
+    pipe_->write(std::move(frames));
 }
 
 }  // namespace spokewheel::fronts::rsync
--- a/src/fronts/rsync/channel.hpp
+++ b/src/fronts/rsync/channel.hpp
@@ -8,14 +8,14 @@
 #include <utility>
 #include <vector>
 
-#include "io/connection.hpp"
+#include "io/pipe.hpp"
 #include "wire/rsync/mux.hpp"
 
 namespace spokewheel::fronts::rsync {
 
 class Channel {
   public:
-    explicit Channel(std::shared_ptr<io::Connection> connection) : connection_(std::move(connection)) {}
+    explicit Channel(std::shared_ptr<io::Pipe> pipe) : pipe_(std::move(pipe)) {}
 
     // ---- in ----
     // False where the stream is broken; error() tells. Reading stops by itself while much waits unread.
@@ -34,13 +34,12 @@
     void literal(std::string_view bytes);
     void message(wire::rsync::Message kind, std::string_view payload);
     void flush();
-    bool blocked() const { return connection_->backlogged() || out_.size() >= kMostPending; }
-    io::Connection& connection() { return *connection_; }
+    bool blocked() const { return pipe_->backlogged() || out_.size() >= kMostPending; }
 
   private:
     static constexpr std::size_t kMostUnread = 512 * 1024, kMostPending = 128 * 1024, kFrame = 32 * 1024,
                                  kLiteral = 128 * 1024;
-    std::shared_ptr<io::Connection> connection_;
+    std::shared_ptr<io::Pipe> pipe_;
     wire::rsync::Demux demux_;
     std::vector<wire::rsync::Demux::Beside> beside_;
     std::string in_, out_, error_;
--- a/src/fronts/rsync/context.hpp
+++ b/src/fronts/rsync/context.hpp
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "catalogue/catalogue.hpp"
 #include "config/settings.hpp"
+#include "fronts/patience.hpp"
 #include "fronts/rsync/channel.hpp"
 #include "fronts/store.hpp"
 #include "host/memory.hpp"
@@ -17,11 +19,14 @@
 
 struct Context {
     const config::DaemonSettings& settings;
-    Store& store;
     host::Memory& memory;
     // Whether the catalogue has read all nodes at least once.
     std::function<bool()> complete;
     std::function<void(const char* event, const std::string& session, const std::string& words)> note;
+    // A session's own way to the stored objects; the daemon's paces what the volume can't serve yet.
+    std::function<std::unique_ptr<Store>(const Patience::Bounds&)> open;
+    // Calls back once after the time, unless what it returns is let go before.
+    std::function<std::shared_ptr<void>(double ms, std::function<void()>)> after;
     std::size_t moving = 0;  // sessions that move data, for the parts of memory
 };
 
@@ -30,6 +35,7 @@
 
 // What was agreed before the stream starts.
 struct Agreed {
+    Store* store = nullptr;  // outlives the half
     const config::VolumeSettings* volume = nullptr;
     wire::rsync::Options options;
     int protocol = 0;
@@ -47,6 +53,9 @@
 enum class FilterStep { More, Rule, End, Bad };
 FilterStep readFilterRule(Channel& channel, wire::rsync::Filter& filter, std::string& fault);
 
+enum class Waits { Nothing, Client, Room, Answer, Memory, Timer };
+const char* nameOf(Waits waits);
+
 // One direction of a transfer. advance() goes on as far as input, output and answers allow; it is called
 // again whenever one of them changed.
 class Half {
@@ -57,6 +66,9 @@
     virtual void beside(const wire::rsync::Demux::Beside& message) { (void)message; }
     // Whether requests are open for it: a session is idle only where none are.
     virtual bool working() const = 0;
+    // The one thing without which advance() can't go on, once it has returned true. Nothing means stuck:
+    // no happening would ever call it again.
+    virtual Waits waits() const = 0;
     const std::string& fault() const { return fault_; }
 
   protected:
--- a/src/fronts/rsync/incoming.hpp
+++ b/src/fronts/rsync/incoming.hpp
@@ -25,7 +25,7 @@
     host::Memory::Lease lease;
     std::vector<catalogue::Piece> pieces;
     std::uint64_t size = 0;
-    std::size_t piecesOpen = 0, stored = 0;
+    std::size_t piecesOpen = 0;
     bool ended = false, verified = false;
     std::string fault;
 
--- a/src/fronts/rsync/receiving.cpp
+++ b/src/fronts/rsync/receiving.cpp
@@ -31,8 +31,7 @@
       agreed_(std::move(agreed)),
       channel_(channel),
       wake_(std::move(wake)),
-      tokens_(agreed_.options.compress),
-      flow_(context.settings.piecesAhead) {
+      tokens_(agreed_.options.compress) {
     const auto& o = agreed_.options;
     wire::rsync::ListForm form;
     form.protocol = agreed_.protocol;
@@ -52,7 +51,7 @@
 
 Receiving::~Receiving() {
     if (moving_) --context_.moving;
-    for (const auto& [ticket, id] : open_) context_.store.abandon(id);
+    for (const auto& [ticket, id] : open_) agreed_.store->abandon(id);
 }
 
 bool Receiving::broken(std::string why) {
@@ -86,9 +85,8 @@
 }
 
 std::size_t Receiving::allowed() const {
-    return std::min(flow_.window(),
-                    host::piecesAhead(context_.memory.free(), context_.moving, context_.settings.pieceBytes,
-                                      context_.settings.piecesAhead));
+    return host::piecesAhead(context_.memory.free(), context_.moving, context_.settings.pieceBytes,
+                             context_.settings.piecesAhead);
 }
 
 bool Receiving::advance() {
@@ -117,6 +115,33 @@
     return state_ != State::Over;
 }
 
+Waits Receiving::waits() const {
+    const auto answer = [this](bool open) { return open ? Waits::Answer : Waits::Nothing; };
+    switch (state_) {
+        case State::Filter:
+        case State::List:
+        case State::Goodbye:
+            return Waits::Client;
+        case State::Transfer:
+            break;
+        case State::Over:
+            return Waits::Nothing;
+    }
+    // A file on its way in comes first: it holds what the client sends behind it.
+    if (current_) {
+        if (copying_ >= 0 && current_->basis->loading()) return Waits::Answer;
+        const bool room = !current_->piece.empty() || !current_->fault.empty() || open_.size() < allowed();
+        if (wantsSum_ || (copying_ < 0 && room)) return Waits::Client;
+        return answer(!room && !open_.empty());
+    }
+    if (channel_.blocked()) return Waits::Room;
+    if (preparing_) return answer(preparing_->loading());
+    if (!chores_.empty()) return answer(!open_.empty());
+    // Either the client has files to send and rounds to end, or what it sent is still being stored.
+    if (doneSeen_ < doneSent_ || asked_.size() >= context_.settings.filesAhead) return Waits::Client;
+    return answer(!open_.empty());
+}
+
 bool Receiving::readFilter() {
     std::string why;
     switch (readFilterRule(channel_, filter_, why)) {
@@ -185,7 +210,7 @@
     v.mode = e.mode & 07777;
     v.mtime = agreed_.options.times ? e.mtime : g_get_real_time() / 1000000;
     v.nsec = agreed_.options.times ? e.nsec : 0;
-    v.version = context_.store.catalogue().baseVersion(agreed_.volume->name, path) + 1;
+    v.version = agreed_.store->catalogue().baseVersion(agreed_.volume->name, path) + 1;
     return v;
 }
 
@@ -193,7 +218,7 @@
     ++context_.moving;
     moving_ = true;
     sortList(list_);
-    const auto& known = context_.store.catalogue();
+    const auto& known = agreed_.store->catalogue();
     const auto& volume = agreed_.volume->name;
     renamed_ = list_.size() == 1 && !list_[0].isDirectory() && !target_.trailingSlash &&
                !known.isDirectory(volume, target_.path);
@@ -220,7 +245,7 @@
 
 void Receiving::planEntry(std::int32_t index, const std::string& path) {
     const auto& e = list_[static_cast<std::size_t>(index)];
-    const auto& known = context_.store.catalogue();
+    const auto& known = agreed_.store->catalogue();
     const auto& volume = agreed_.volume->name;
     const auto shown = known.find(volume, path);
     if (e.isDirectory()) {
@@ -262,7 +287,7 @@
     }
     std::set<std::string> gone;
     const auto skip = target_.path.empty() ? 0 : target_.path.size() + 1;
-    for (const auto& v : context_.store.catalogue().below(agreed_.volume->name, target_.path)) {
+    for (const auto& v : agreed_.store->catalogue().below(agreed_.volume->name, target_.path)) {
         const auto slash = v->path.rfind('/');
         const auto parent = slash == v->path.npos ? "" : v->path.substr(0, slash);
         if (named.count(v->path) || (!content.count(parent) && !gone.count(parent))) continue;
@@ -283,7 +308,7 @@
 // ---------------------------------------------------------------- small writes
 bool Receiving::chores() {
     bool any = false;
-    while (!chores_.empty() && choresOpen_ < flow_.window() && !channel_.blocked()) {
+    while (!chores_.empty() && choresOpen_ < context_.settings.piecesAhead && !channel_.blocked()) {
         auto chore = std::move(chores_.front());
         chores_.pop_front();
         ++choresOpen_;
@@ -308,7 +333,7 @@
             chore, std::make_shared<const std::string>(catalogue::encode(
                        std::vector<catalogue::Piece>{{of->shard, "o/" + of->id, of->size, of->digest}})));
     const auto ticket = ++nextTicket_;
-    open_[ticket] = context_.store.read(
+    open_[ticket] = agreed_.store->read(
         *agreed_.volume, of->shard, "o/" + of->id, kMostManifest, of->size, "",
         track<ReadResult>(ticket, [this, chore](ReadResult r) {
             if (r.fine) return writeChore(chore, std::make_shared<const std::string>(std::move(r.body)));
@@ -319,11 +344,9 @@
 
 void Receiving::writeChore(const std::shared_ptr<Chore>& chore, std::shared_ptr<const std::string> body) {
     const auto ticket = ++nextTicket_;
-    open_[ticket] = context_.store.writeVersion(
+    open_[ticket] = agreed_.store->writeVersion(
         *agreed_.volume, chore->version, body, track<WriteResult>(ticket, [this, chore, body](WriteResult r) {
-            if (r.fine) flow_.served();
-            else if (r.refused && flow_.refused(++chore->refused, false)) return writeChore(chore, body);
-            else tell(chore->version.path, r.words);
+            if (!r.fine) tell(chore->version.path, r.words);
             --choresOpen_;
         }));
 }
@@ -332,7 +355,7 @@
 void Receiving::requestOne(std::int32_t index, const BlockSums* sums) {
     auto& out = channel_.out();
     const auto& e = list_[static_cast<std::size_t>(index)];
-    const bool fresh = !context_.store.catalogue().find(agreed_.volume->name, pathOf(e));
+    const bool fresh = !agreed_.store->catalogue().find(agreed_.volume->name, pathOf(e));
     out_.put(out, index);
     putU16(out, static_cast<std::uint16_t>(kTransfer | (fresh ? kIsNew : 0)));
     asked_.insert(index);
@@ -351,7 +374,7 @@
     while (!todo_.empty() && asked_.size() < context_.settings.filesAhead && !channel_.blocked()) {
         const auto index = todo_.front();
         const auto& e = list_[static_cast<std::size_t>(index)];
-        const auto shown = context_.store.catalogue().find(agreed_.volume->name, pathOf(e));
+        const auto shown = agreed_.store->catalogue().find(agreed_.volume->name, pathOf(e));
         const bool delta = shown && shown->kind == Kind::File && shown->size >= kLeastForDelta &&
                            doneSeen_ == 0 && e.size >= kLeastForDelta && !agreed_.options.wholeFile &&
                            !agreed_.options.dryRun;
@@ -503,26 +526,23 @@
                                              f->pieces.size(), p.digest);
         f->pieces.push_back(std::move(p));
         ++f->piecesOpen;
-        putPiece(f, f->pieces.size() - 1, std::move(body), std::move(lease), 0);
+        putPiece(f, f->pieces.size() - 1, std::move(body), std::move(lease));
     }
 }
 
 void Receiving::putPiece(const std::shared_ptr<Incoming>& f, std::size_t i,
-                         std::shared_ptr<const std::string> body, std::shared_ptr<host::Memory::Lease> lease,
-                         int refused) {
+                         std::shared_ptr<const std::string> body,
+                         std::shared_ptr<host::Memory::Lease> lease) {
     const auto ticket = ++nextTicket_;
     const auto expected = list_[static_cast<std::size_t>(f->index)].size;
-    open_[ticket] = context_.store.writePiece(
-        *agreed_.volume, f->version.path, f->pieces[i].object.substr(2), body, expected,
-        track<WriteResult>(ticket, [this, f, i, body, lease, refused](WriteResult r) {
-            if (r.fine) flow_.served(), ++f->stored;
-            else if (r.refused && f->fault.empty() && flow_.refused(refused + 1, f->stored > 0))
-                return putPiece(f, i, body, lease, refused + 1);
-            else if (f->fault.empty()) f->fault = r.words;
-            f->pieces[i].shard = r.shard;
-            --f->piecesOpen;
-            settle(f);
-        }));
+    open_[ticket] =
+        agreed_.store->writePiece(*agreed_.volume, f->version.path, f->pieces[i].object.substr(2), body,
+                                  expected, track<WriteResult>(ticket, [this, f, i, lease](WriteResult r) {
+                                      if (!r.fine && f->fault.empty()) f->fault = r.words;
+                                      f->pieces[i].shard = r.shard;
+                                      --f->piecesOpen;
+                                      settle(f);
+                                  }));
 }
 
 void Receiving::ended(std::string_view sum) {
@@ -547,10 +567,10 @@
         f->fault = "its content did not match its checksum, twice";
     }
     if (!f->fault.empty()) return tell(f->version.path, f->fault);
-    commit(f, 0);
+    commit(f);
 }
 
-void Receiving::commit(const std::shared_ptr<Incoming>& f, int refused) {
+void Receiving::commit(const std::shared_ptr<Incoming>& f) {
     std::shared_ptr<const std::string> body;
     if (f->pieces.empty()) body = std::make_shared<const std::string>(f->piece);
     else {
@@ -558,12 +578,10 @@
         body = std::make_shared<const std::string>(catalogue::encode(f->pieces));
     }
     const auto ticket = ++nextTicket_;
-    open_[ticket] = context_.store.writeVersion(
-        *agreed_.volume, f->version, body, track<WriteResult>(ticket, [this, f, refused](WriteResult r) {
-            if (r.fine) flow_.served();
-            else if (r.refused && flow_.refused(refused + 1, f->stored > 0)) commit(f, refused + 1);
-            else tell(f->version.path, r.words);
-        }));
+    open_[ticket] = agreed_.store->writeVersion(*agreed_.volume, f->version, body,
+                                                track<WriteResult>(ticket, [this, f](WriteResult r) {
+                                                    if (!r.fine) tell(f->version.path, r.words);
+                                                }));
 }
 
 // ---------------------------------------------------------------- rounds
--- a/src/fronts/rsync/receiving.hpp
+++ b/src/fronts/rsync/receiving.hpp
@@ -8,7 +8,6 @@
 #include <set>
 #include <vector>
 
-#include "fronts/decide_flow.hpp"
 #include "fronts/rsync/basis.hpp"
 #include "fronts/rsync/context.hpp"
 #include "fronts/rsync/incoming.hpp"
@@ -23,6 +22,7 @@
     bool advance() override;
     void beside(const wire::rsync::Demux::Beside& message) override;
     bool working() const override { return !open_.empty() || preparing_; }
+    Waits waits() const override;
 
   private:
     enum class State { Filter, List, Transfer, Goodbye, Over };
@@ -31,7 +31,6 @@
         catalogue::FileVersion version;
         catalogue::Shown contentOf;  // metadata only: whose content the version keeps
         std::string removed;         // a deletion: what the client is told
-        int refused = 0;
     };
 
     bool readFilter();
@@ -52,11 +51,10 @@
     bool copyBlock();
     void flushPiece(const std::shared_ptr<Incoming>& file);
     void putPiece(const std::shared_ptr<Incoming>& file, std::size_t i,
-                  std::shared_ptr<const std::string> body, std::shared_ptr<host::Memory::Lease> lease,
-                  int refused);
+                  std::shared_ptr<const std::string> body, std::shared_ptr<host::Memory::Lease> lease);
     void ended(std::string_view sum);
     void settle(const std::shared_ptr<Incoming>& file);
-    void commit(const std::shared_ptr<Incoming>& file, int refused);
+    void commit(const std::shared_ptr<Incoming>& file);
     bool chores();
     void runChore(std::shared_ptr<Chore> chore);
     void writeChore(const std::shared_ptr<Chore>& chore, std::shared_ptr<const std::string> body);
@@ -100,7 +98,6 @@
     int doneSent_ = 0, doneSeen_ = 0, deleted_ = 0, deletedDirectories_ = 0;
     bool moving_ = false;
     std::vector<host::Memory::Lease> listLeases_;
-    Flow flow_;
 };
 
 }  // namespace spokewheel::fronts::rsync
--- a/src/fronts/rsync/sending.cpp
+++ b/src/fronts/rsync/sending.cpp
@@ -19,6 +19,24 @@
 
 }  // namespace
 
+const char* nameOf(Waits waits) {
+    switch (waits) {
+        case Waits::Nothing:
+            break;
+        case Waits::Client:
+            return "the client";
+        case Waits::Room:
+            return "room to the client";
+        case Waits::Answer:
+            return "an answer";
+        case Waits::Memory:
+            return "memory";
+        case Waits::Timer:
+            return "a timer";
+    }
+    return "nothing";
+}
+
 std::string md5(std::string_view first, std::string_view second) {
     GChecksum* sum = g_checksum_new(G_CHECKSUM_MD5);
     for (const auto part : {first, second})
@@ -59,8 +77,7 @@
       agreed_(std::move(agreed)),
       channel_(channel),
       wake_(std::move(wake)),
-      tokens_(agreed_.options.compress),
-      flow_(context.settings.piecesAhead) {
+      tokens_(agreed_.options.compress) {
     for (const auto& p : agreed_.options.paths) paths_.push_back(modulePath(agreed_.volume->name, p));
 }
 
@@ -68,7 +85,7 @@
     if (moving_) --context_.moving;
     for (const auto& job : jobs_)
         for (const auto& [i, slot] : job->slots)
-            if (!slot.ready) context_.store.abandon(slot.request);
+            if (!slot.ready) agreed_.store->abandon(slot.request);
 }
 
 bool Sending::broken(std::string why) {
@@ -95,8 +112,11 @@
             case State::Serve: {
                 const bool read = readRequests();
                 fetch();
+                // What was passed on makes room to ask for more. A delta passes many pieces without ever
+                // filling the queue to the client, so that no other happening would call this again.
+                const auto before = passed_;
                 const bool wrote = state_ == State::Serve && serve();
-                more = read || wrote;
+                more = read || wrote || passed_ != before;
                 break;
             }
             case State::Goodbye:
@@ -110,6 +130,30 @@
     return state_ != State::Over;
 }
 
+Waits Sending::waits() const {
+    switch (state_) {
+        case State::Filter:
+        case State::Names:
+        case State::Goodbye:
+            return Waits::Client;
+        case State::Wait:
+            return retry_ ? Waits::Memory : Waits::Nothing;
+        case State::List:
+            return channel_.blocked() ? Waits::Room : Waits::Nothing;
+        case State::Serve: {
+            if (channel_.blocked()) return Waits::Room;
+            if (jobs_.empty()) return Waits::Client;
+            // The first job stands still only for content that was asked for and has not come.
+            const auto& job = *jobs_.front();
+            const auto slot = job.slots.find(job.wantsManifest ? 0 : job.sent);
+            return slot != job.slots.end() && !slot->second.ready ? Waits::Answer : Waits::Nothing;
+        }
+        case State::Over:
+            break;
+    }
+    return Waits::Nothing;
+}
+
 bool Sending::readFilter() {
     std::string why;
     switch (readFilterRule(channel_, filter_, why)) {
@@ -158,12 +202,13 @@
     std::uint64_t entries = paths_.size();
     if (agreed_.options.recurse)
         for (const auto& p : paths_)
-            entries += context_.store.catalogue().countBelow(agreed_.volume->name, p.path);
+            entries += agreed_.store->catalogue().countBelow(agreed_.volume->name, p.path);
     const auto bytes = kListEntryBytes * std::min<std::uint64_t>(entries, context_.settings.listEntries);
     if (!host::mayKeepList(bytes, context_.memory.free(), context_.memory.used())) {
-        retry_.arm(kRetryMs, [wake = wake_] { wake(); });
+        retry_ = context_.after(kRetryMs, [wake = wake_] { wake(); });
         return false;
     }
+    retry_.reset();
     listLease_ = context_.memory.take(bytes);
     makeList();
     return true;
@@ -171,7 +216,7 @@
 
 void Sending::makeList() {
     const auto& o = agreed_.options;
-    listing_ = listFiles(context_.store.catalogue(), agreed_.volume->name, o, paths_, filter_,
+    listing_ = listFiles(agreed_.store->catalogue(), agreed_.volume->name, o, paths_, filter_,
                          context_.settings.listEntries);
     // A list that may lack files must not make a client delete its own.
     if (!context_.complete()) listing_.faults.emplace_back("not all storage nodes have been read yet");
@@ -299,10 +344,11 @@
         for (;;) {
             const bool manifest = job->wantsManifest;
             if (manifest ? job->asked > 0 : job->asked >= job->pieces.size()) break;
-            const auto most =
-                std::min(flow_.window(), host::piecesAhead(context_.memory.free(), context_.moving, piece,
-                                                           context_.settings.piecesAhead));
-            if (ahead_ >= most) return;
+            const auto most = host::piecesAhead(context_.memory.free(), context_.moving, piece,
+                                                context_.settings.piecesAhead);
+            // The first job may always have one piece out: what later ones hold ready waits for it, and the
+            // window may have shrunk below what they hold.
+            if (ahead_ >= most && !(job == jobs_.front() && job->slots.empty())) return;
             ++ahead_;
             ask(job, job->asked++);
         }
@@ -319,12 +365,12 @@
     ++open_;
     if (job->wantsManifest) {
         slot.request =
-            context_.store.read(*agreed_.volume, v.shard, "o/" + v.id, kMostManifest, v.size, "", done);
+            agreed_.store->read(*agreed_.volume, v.shard, "o/" + v.id, kMostManifest, v.size, "", done);
         return;
     }
     const auto& p = job->pieces[i];
     slot.lease = context_.memory.take(p.size);
-    slot.request = context_.store.read(*agreed_.volume, p.shard, p.object, p.size, v.size, p.digest, done);
+    slot.request = agreed_.store->read(*agreed_.volume, p.shard, p.object, p.size, v.size, p.digest, done);
 }
 
 void Sending::onPiece(const std::weak_ptr<Job>& weak, std::size_t i, ReadResult result) {
@@ -332,9 +378,6 @@
     const auto job = weak.lock();
     if (!job) return;
     auto& slot = job->slots[i];
-    if (result.fine) flow_.served(), ++job->served;
-    else if (result.refused && job->fault.empty() && flow_.refused(++slot.refused, job->served > 0))
-        return ask(job, i);
     if (result.fine && job->wantsManifest) {
         const auto pieces = catalogue::decodePieces(result.body, job->version->size);
         job->wantsManifest = false;
@@ -416,12 +459,10 @@
         pass(job, found->second.body);
         job.slots.erase(found);
         ++job.sent;
+        ++passed_;
         --ahead_;
         channel_.flush();
-        if (channel_.blocked() && job.sent < job.pieces.size()) {
-            fetch();
-            return false;
-        }
+        if (channel_.blocked() && job.sent < job.pieces.size()) return false;
     }
     finishFile(job);
     return true;
@@ -459,7 +500,7 @@
     }
     out += sum;
     for (auto& [i, slot] : job.slots) {
-        if (!slot.ready) context_.store.abandon(slot.request), --open_;
+        if (!slot.ready) agreed_.store->abandon(slot.request), --open_;
         --ahead_;
     }
     job.slots.clear();
@@ -474,7 +515,7 @@
     channel_.message(Message::NoSend, index);
     context_.note("file_not_sent", "", path + ": " + job.fault);
     for (auto& [i, slot] : job.slots) {
-        if (!slot.ready) context_.store.abandon(slot.request), --open_;
+        if (!slot.ready) agreed_.store->abandon(slot.request), --open_;
         --ahead_;
     }
     job.slots.clear();
--- a/src/fronts/rsync/sending.hpp
+++ b/src/fronts/rsync/sending.hpp
@@ -7,7 +7,6 @@
 #include <memory>
 #include <vector>
 
-#include "fronts/decide_flow.hpp"
 #include "fronts/rsync/context.hpp"
 #include "fronts/rsync/listing.hpp"
 #include "wire/rsync/delta.hpp"
@@ -20,13 +19,13 @@
     ~Sending() override;
     bool advance() override;
     bool working() const override { return open_ > 0 || state_ == State::Wait; }
+    Waits waits() const override;
 
   private:
     enum class State { Filter, Names, Wait, List, Serve, Goodbye, Over };
     struct Slot {  // one object asked for
         std::string body, request;
         bool ready = false;
-        int refused = 0;
         host::Memory::Lease lease;
     };
     struct Job {  // one request of the client, in order
@@ -41,7 +40,7 @@
         std::vector<catalogue::Piece> pieces;
         bool wantsManifest = false;
         std::map<std::size_t, Slot> slots;
-        std::size_t asked = 0, sent = 0, served = 0;
+        std::size_t asked = 0, sent = 0;
         std::string fault;
         std::unique_ptr<wire::rsync::Matcher> matcher;
         std::unique_ptr<void, void (*)(void*)> md5{nullptr, nullptr};
@@ -85,11 +84,10 @@
     std::int32_t sumsLeft_ = 0;
     std::size_t open_ = 0, ahead_ = 0, sumsHeld_ = 0, nameBytes_ = 0;
     int rounds_ = 0, goodbyes_ = 0, ioError_ = 0;
-    std::uint64_t written_ = 0;
-    Flow flow_;
+    std::uint64_t written_ = 0, passed_ = 0;  // bytes; pieces
     bool moving_ = false;
     host::Memory::Lease listLease_;
-    io::Timer retry_;
+    std::shared_ptr<void> retry_;
 };
 
 }  // namespace spokewheel::fronts::rsync
--- a/src/fronts/rsync/session.cpp
+++ b/src/fronts/rsync/session.cpp
@@ -16,6 +16,7 @@
 const std::vector<std::string> kDigests = {"sha512", "sha256", "sha1", "md5"};
 const std::vector<std::string> kSums = {"xxh128", "md5"};
 const std::vector<std::string> kPackers = {"zstd"};
+constexpr double kStuckMs = 30000;
 constexpr int kSyntax = 1, kUnsupported = 4, kProtocol = 2, kTimeout = 30;
 
 GChecksumType typeOf(const std::string& digest) {
@@ -80,12 +81,28 @@
     watchIdle();
 }
 
+// A session that is not over always waits for one thing that will call it again. Where it does not, that is
+// a defect: told at once under the tests; in service the client is told, and repeats, instead of hanging.
+void Session::checkWait() {
+    if (half_->waits() != Waits::Nothing || later_.armed()) return;
+    context_.note("session_stuck", name_, "waits for nothing");
+#ifdef SPOKEWHEEL_CHECKS
+    g_error("session %s waits for nothing", name_.c_str());
+#endif
+    fail("this session can't go on, an error of the gateway", kProtocol);
+}
+
 // A client is idle where it is its turn and it does nothing: it neither sends nor takes what waits for it.
 void Session::watchIdle() {
     idle_.arm(1000, [this] {
         const double now = io::nowMs();
         const auto& s = context_.settings;
         const bool shaking = state_ < State::Stream;
+        if (half_ && now - progressAt_ > kStuckMs && now - stuckToldAt_ > kStuckMs) {
+            // Answers and memory come within a request's time; longer is worth a line in the log.
+            stuckToldAt_ = now;
+            context_.note("session_waits", name_, nameOf(half_->waits()));
+        }
         const bool late = shaking ? now - startedAt_ > 1000 * s.handshakeS
                                   : now - progressAt_ > 1000 * s.clientIdleS && !(half_ && half_->working());
         if (!late) return watchIdle();
@@ -162,7 +179,10 @@
             return readAgreement();
         case State::Stream: {
             for (const auto& m : channel_->takeBeside()) half_->beside(m);
-            if (half_->advance()) return false;
+            if (half_->advance()) {
+                checkWait();
+                return false;
+            }
             if (!half_->fault().empty()) {
                 context_.note("session_broken", name_, half_->fault());
                 fail(half_->fault(), kProtocol);
@@ -287,6 +307,11 @@
     };
     context_.note("session_started", name_,
                   agreed_.volume->name + (agreed_.options.sender ? " pull" : " push"));
+    // A client with a --timeout gives up where nothing moves for so long. It is told that this side lives
+    // meanwhile, which one of protocol 30 can't be: that one must have its answer before.
+    const double part = agreed_.protocol < 31 ? 0.8 : 1;
+    store_ = context_.open({1000 * context_.settings.refusedWaitS, 1000 * part * agreed_.options.timeoutS});
+    agreed_.store = store_.get();
     if (agreed_.options.sender) half_ = std::make_shared<Sending>(context_, agreed_, *channel_, wake);
     else half_ = std::make_shared<Receiving>(context_, agreed_, *channel_, wake);
     state_ = State::Stream;
@@ -323,6 +348,7 @@
 // What was written still goes out; then the client has a moment to close its side.
 void Session::close() {
     half_.reset();
+    store_.reset();
     keepAlive_.cancel();
     state_ = State::Closing;
     channel_->flush();
@@ -341,6 +367,7 @@
 void Session::end() {
     const auto keep = shared_from_this();
     half_.reset();
+    store_.reset();
     later_.cancel();
     idle_.cancel();
     keepAlive_.cancel();
--- a/src/fronts/rsync/session.hpp
+++ b/src/fronts/rsync/session.hpp
@@ -40,6 +40,7 @@
     void end();
     void later();
     void watchIdle();
+    void checkWait();
 
     Context& context_;
     std::shared_ptr<io::Connection> connection_;
@@ -51,9 +52,10 @@
     std::vector<std::string> digests_, arguments_;
     std::string challenge_, optionError_;
     std::size_t argumentBytes_ = 0;
+    std::unique_ptr<Store> store_;  // let go after the half, which uses it
     std::shared_ptr<Half> half_;
     io::Timer later_, idle_, keepAlive_;
-    double progressAt_ = 0, startedAt_ = 0;
+    double progressAt_ = 0, startedAt_ = 0, stuckToldAt_ = 0;
     bool draining_ = false;
 };
 
--- a/src/fronts/store.cpp
+++ b/src/fronts/store.cpp
@@ -18,19 +18,24 @@
 
 }  // namespace
 
-Store::Store(const config::DaemonSettings& settings, host::Host& host, catalogue::Catalogue& catalogue)
-    : settings_(settings), host_(host), catalogue_(catalogue) {
-    rules_.readClass = settings.readClass;
-    rules_.largeReadClass = settings.largeReadClass;
-    rules_.writeClass = settings.writeClass;
-    rules_.largeFromBytes = settings.largeFromBytes;
-    rules_.unitBytes = settings.unitBytes;
-    rules_.topUnits = settings.module.topUnits;
+host::RequestRules requestRules(const config::DaemonSettings& settings) {
+    host::RequestRules rules;
+    rules.readClass = settings.readClass;
+    rules.largeReadClass = settings.largeReadClass;
+    rules.writeClass = settings.writeClass;
+    rules.largeFromBytes = settings.largeFromBytes;
+    rules.unitBytes = settings.unitBytes;
+    rules.topUnits = settings.module.topUnits;
+    return rules;
 }
 
-std::string Store::submit(const config::VolumeSettings& volume, const host::RequestShape& shape,
-                          std::int64_t key, int shard, std::shared_ptr<const host::Exchange> exchange,
-                          host::Host::Done done) {
+NodeStore::NodeStore(const config::DaemonSettings& settings, host::Host& host,
+                     catalogue::Catalogue& catalogue)
+    : settings_(settings), host_(host), catalogue_(catalogue), rules_(requestRules(settings)) {}
+
+std::string NodeStore::submit(const config::VolumeSettings& volume, const host::RequestShape& shape,
+                              std::int64_t key, int shard, std::shared_ptr<const host::Exchange> exchange,
+                              host::Host::Done done) {
     host::Work w;
     w.requestClass = shape.requestClass;
     w.plan = volume.plan;
@@ -45,9 +50,9 @@
     return host_.submit(std::move(w), std::move(done));
 }
 
-std::string Store::read(const config::VolumeSettings& volume, int shard, const std::string& object,
-                        std::uint64_t size, std::uint64_t fileBytes, const std::string& digest,
-                        std::function<void(ReadResult)> done) {
+std::string NodeStore::read(const config::VolumeSettings& volume, int shard, const std::string& object,
+                            std::uint64_t size, std::uint64_t fileBytes, const std::string& digest,
+                            std::function<void(ReadResult)> done) {
     auto x = std::make_shared<host::Exchange>();
     x->target = "/" + volume.name + "/" + object;
     x->mostAnswer = size + 1024;  // room for the words of an error
@@ -56,6 +61,7 @@
         volume, shape, keyOf(x->target), shard, x, [size, digest, done = std::move(done)](host::Answer a) {
             ReadResult r;
             r.refused = a.kind == host::Answer::Kind::Refused;
+            r.holdOffMs = a.holdOffMs;
             if (a.kind != host::Answer::Kind::Served || a.status != 200) r.words = wordsOf(a);
             else if (!digest.empty() && (a.body.size() != size || catalogue::hex128(a.body) != digest))
                 r.words = "what the storage node returned does not match its checksum";
@@ -67,9 +73,9 @@
         });
 }
 
-std::string Store::write(const config::VolumeSettings& volume, const std::string& path,
-                         std::shared_ptr<host::Exchange> exchange, std::uint64_t fileBytes,
-                         std::function<void(WriteResult)> done) {
+std::string NodeStore::write(const config::VolumeSettings& volume, const std::string& path,
+                             std::shared_ptr<host::Exchange> exchange, std::uint64_t fileBytes,
+                             std::function<void(WriteResult)> done) {
     // Named by what it holds and made once: a repeat, here or at another host, finds it there (412).
     exchange->method = "PUT";
     exchange->fields.emplace_back("If-None-Match", "*");
@@ -80,6 +86,8 @@
                   [done = std::move(done)](host::Answer a) {
                       WriteResult r;
                       r.refused = a.kind == host::Answer::Kind::Refused;
+                      r.holdOffMs = a.holdOffMs;
+                      r.holdOffMs = a.holdOffMs;
                       const bool stored = a.status == 200 || a.status == 201 || a.status == 204;
                       r.fine = a.kind == host::Answer::Kind::Served && (stored || a.status == 412);
                       r.shard = a.shard;
@@ -89,18 +97,18 @@
                   });
 }
 
-std::string Store::writePiece(const config::VolumeSettings& volume, const std::string& path,
-                              const std::string& id, std::shared_ptr<const std::string> body,
-                              std::uint64_t fileBytes, std::function<void(WriteResult)> done) {
+std::string NodeStore::writePiece(const config::VolumeSettings& volume, const std::string& path,
+                                  const std::string& id, std::shared_ptr<const std::string> body,
+                                  std::uint64_t fileBytes, std::function<void(WriteResult)> done) {
     auto x = std::make_shared<host::Exchange>();
     x->target = "/" + volume.name + "/p/" + id;
     x->body = std::move(body);
     return write(volume, path, std::move(x), fileBytes, std::move(done));
 }
 
-std::string Store::writeVersion(const config::VolumeSettings& volume, catalogue::FileVersion version,
-                                std::shared_ptr<const std::string> body,
-                                std::function<void(WriteResult)> done) {
+std::string NodeStore::writeVersion(const config::VolumeSettings& volume, catalogue::FileVersion version,
+                                    std::shared_ptr<const std::string> body,
+                                    std::function<void(WriteResult)> done) {
     version.id = catalogue::versionId(volume.name, version);
     auto x = std::make_shared<host::Exchange>();
     x->target = "/" + volume.name + "/o/" + version.id;
--- a/src/io/connection.hpp
+++ b/src/io/connection.hpp
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "io/loop.hpp"
+#include "io/pipe.hpp"
 
 namespace spokewheel::io {
 
@@ -25,7 +26,7 @@
 
 enum class Closed { ByPeer, Reset, NotConnected };
 
-class Connection : public std::enable_shared_from_this<Connection> {
+class Connection : public Pipe, public std::enable_shared_from_this<Connection> {
   public:
     struct Handler {
         std::function<void()> connected;
@@ -37,19 +38,19 @@
 
     static std::shared_ptr<Connection> dial(const Address& to);
     static std::shared_ptr<Connection> adopt(GSocket* socket);  // takes the reference
-    ~Connection();
+    ~Connection() override;
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
 
     void handle(Handler handler) { handler_ = std::move(handler); }
     // Queues all of it; callers look at backlogged() and wait for drained before they make more.
-    void write(std::string bytes);
-    bool backlogged() const { return queued_ >= kHighWater; }
+    void write(std::string bytes) override;
+    bool backlogged() const override { return queued_ >= kHighWater; }
     std::size_t queued() const { return queued_; }
     // Bytes of the queue that the kernel has taken since the start.
     std::uint64_t wrote() const { return wrote_; }
-    void pauseReading();
-    void resumeReading();
+    void pauseReading() override;
+    void resumeReading() override;
     bool readable() const;  // bytes or an end wait unread (used to find a kept connection that has ended)
     void shutdownWrite();   // after what is queued has gone out
     void close();           // at once; what is queued is dropped, no callback follows
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -9,7 +9,7 @@
 #include "catalogue/catalogue.hpp"
 #include "catalogue/decide_winner.hpp"
 #include "config/settings.hpp"
-#include "fronts/decide_flow.hpp"
+#include "fronts/decide_pace.hpp"
 #include "host/decide_request.hpp"
 #include "host/memory.hpp"
 #include "host/reminders.hpp"
@@ -64,17 +64,67 @@
     EXPECT_TRUE(registry::changes({a, b}, {b, a}).empty());
 }
 
-TEST(Flow, OnlyAFileUnderwayIsAskedForAgainAndMoreSlowly) {
-    fronts::Flow f(8);
-    EXPECT_FALSE(f.refused(1, false));
-    EXPECT_EQ(f.window(), 8u);  // one file refused as a whole says nothing of speed
-    EXPECT_TRUE(f.refused(1, true));
-    EXPECT_EQ(f.window(), 4u);
-    for (int i = 0; i < 3; ++i) f.refused(1, true);
-    EXPECT_EQ(f.window(), 4u);  // refused together: one sign
-    EXPECT_FALSE(f.refused(fronts::Flow::kMostTries, true));
-    for (int i = 0; i < 100; ++i) f.served();
-    EXPECT_EQ(f.window(), 8u);
+// A host's part of a limit, and what a refusal does to it.
+TEST(Pace, StartsAtThePartOfTheLimitAndHalvesOncePerSign) {
+    fronts::Pace p({100, 2, 8, 4000});
+    EXPECT_EQ(p.window(), 100.0);  // 100 a second over two hosts, half of 4 s
+    for (int i = 0; i < 12; ++i) {
+        EXPECT_TRUE(p.may(8, 0));
+        p.sent(8);
+    }
+    EXPECT_FALSE(p.may(8, 0));
+    EXPECT_TRUE(p.refused(8, -1, 0, 10, 0, 10));
+    EXPECT_EQ(p.window(), 48.0);
+    EXPECT_TRUE(p.refused(8, -1, 0, 10, 0, 11));  // those out together are one sign
+    EXPECT_EQ(p.window(), 48.0);
+    for (int i = 0; i < 10; ++i) p.gone(8);
+    EXPECT_FALSE(p.may(8, 12));  // rests after a refusal
+    EXPECT_GT(p.dueMs(), 12);
+    EXPECT_TRUE(p.may(8, p.dueMs()));
+}
+
+TEST(Pace, WithoutALimitNothingIsHeldBackUntilARefusalAndAfterALongCalm) {
+    fronts::Pace p({0, 1, 8, 1000});
+    for (int i = 0; i < 1000; ++i) p.sent(8);
+    EXPECT_TRUE(p.may(8, 0));
+    EXPECT_FALSE(p.refused(8, -1, 0, 2, 0, 2));  // nothing was served: waiting is no cure, nothing narrows
+    EXPECT_TRUE(p.may(8, 2));
+    p.served(8, 0, 3);
+    EXPECT_FALSE(p.refused(8, 1, 0, 4, 0, 4));  // its node is silent, though another serves
+    EXPECT_TRUE(p.refused(8, 0, 0, 4, 0, 4));
+    EXPECT_FALSE(p.may(8, 5000));
+    p.served(8, 0, 20000);
+    EXPECT_TRUE(p.may(8, 20000));
+}
+
+TEST(Pace, GivesUpWhereTheShardServesNothing) {
+    fronts::Pace p({100, 1, 8, 1000});
+    p.sent(1);
+    EXPECT_TRUE(p.refused(1, 3, 0, 0, 0, 1500));
+    p.sent(1);
+    p.served(1, 4, 2500);  // another shard's service says nothing of this one
+    p.sent(1);
+    EXPECT_FALSE(p.refused(1, 3, 2500, 0, 0, 2600));
+    p.sent(1);
+    EXPECT_TRUE(p.refused(1, -1, 2500, 0, 0, 2600));  // a new object may go to any
+}
+
+TEST(FairLine, SessionsTakeTurnsByUnitsAndALateOneGetsNoArrears) {
+    fronts::FairLine line;
+    for (std::uint64_t i = 0; i < 4; ++i) line.add(1, 10 + i);
+    line.pass(8);
+    line.pass(8);
+    line.add(2, 20);
+    line.add(2, 21);
+    EXPECT_EQ(line.next(), 12u);  // both stand level: the first comes first
+    line.pass(8);
+    EXPECT_EQ(line.next(), 20u);
+    line.pass(8);
+    EXPECT_EQ(line.next(), 13u);
+    line.remove(1, 13);
+    EXPECT_EQ(line.next(), 21u);
+    line.leave(2);
+    EXPECT_TRUE(line.empty());
 }
 
 TEST(RequestShape, ClassBySizeOfFileUnitsByWhatMoves) {
