Everyday options of the client, named checksums, secluded arguments, relative lists below the root

Filter rules: sides, negation, '***', infix slashes as the manual has them. A request whose wait is over is never let out late.

--- a/fuzz/rsync_fuzz.cpp
+++ b/fuzz/rsync_fuzz.cpp
@@ -101,7 +101,7 @@
             }
             parseOptions(arguments);
             parseGreeting(text);
-            Filter f;
+            Filter f(Filter::Side::Receiver);
             for (const auto& a : arguments) f.add(a);
             f.excluded(text.substr(0, 200), false);
             Reader r(text);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -92,7 +92,8 @@
             log_.event(calm ? Level::Info : Level::Warn, event, {{"session", session}, {"words", words}},
                        io::nowMs());
         },
-        [this](const fronts::Patience::Bounds& bounds) { return patience_->open(bounds); }, after});
+        [this](const fronts::Patience::Bounds& bounds) { return patience_->open(bounds); },
+        [] { return io::nowMs(); }, after});
     const auto update = [this](ListUpdate u) { onList(std::move(u)); };
     const auto fault = [this](const std::string& words) {
         log_.event(Level::Error, "node_list_fault", {{"words", words}}, io::nowMs());
--- a/src/fronts/patience.cpp
+++ b/src/fronts/patience.cpp
@@ -152,6 +152,8 @@
     while (!gate.line.empty()) {
         const auto id = gate.line.next();
         auto& ask = asks_.at(id);
+        // Too late to go out: its caller is told, though not from within.
+        if (overdue(ask, now)) return wake(gate, volume, 0);
         if (!gate.pace.may(ask.units, now)) break;
         gate.line.pass(ask.units);
         gate.pace.sent(ask.units);
--- a/src/fronts/rsync/basis.cpp
+++ b/src/fronts/rsync/basis.cpp
@@ -15,11 +15,11 @@
 void Basis::prepare() {
     const auto& v = *version_;
     auto& h = sums_.head;
-    h.length = blockLength(v.size);
+    h.length = agreed_.options.blockSize > 0 ? agreed_.options.blockSize : blockLength(v.size);
     h.count = static_cast<std::int32_t>((v.size + static_cast<std::uint64_t>(h.length) - 1) /
                                         static_cast<std::uint64_t>(h.length));
     h.remainder = static_cast<std::int32_t>(v.size % static_cast<std::uint64_t>(h.length));
-    h.sumBytes = static_cast<std::int32_t>(kSumBytes);
+    h.sumBytes = static_cast<std::int32_t>(sizeOf(agreed_.sums));
     if (v.layout == catalogue::Layout::Inline) {
         pieces_ = {{v.shard, "o/" + v.id, v.size, v.digest}};
         starts_ = {0};
--- a/src/fronts/rsync/context.hpp
+++ b/src/fronts/rsync/context.hpp
@@ -25,6 +25,7 @@
     std::function<void(const char* event, const std::string& session, const std::string& words)> note;
     // A session's own way to the stored objects; the daemon's paces what the volume can't serve yet.
     std::function<std::unique_ptr<Store>(const Patience::Bounds&)> open;
+    std::function<double()> now;  // milliseconds, never going back
     // Calls back once after the time, unless what it returns is let go before.
     std::function<std::shared_ptr<void>(double ms, std::function<void()>)> after;
     std::size_t moving = 0;  // sessions that move data, for the parts of memory
@@ -41,6 +42,7 @@
     int protocol = 0;
     std::uint32_t flags = 0;
     wire::rsync::SumKind sums = wire::rsync::SumKind::Md5;
+    wire::rsync::SumKind listSums = wire::rsync::SumKind::Md5;  // of -c
     std::int32_t seed = 0;
     bool seedFirst() const { return flags & wire::rsync::kSeedFix; }
 };
--- a/src/fronts/rsync/listing.cpp
+++ b/src/fronts/rsync/listing.cpp
@@ -58,22 +58,25 @@
         if (const auto v = catalogue_.find(volume_, p.path); v && v->kind == Kind::File)
             return named(p, [&](const std::string& name) { file(v, name); });
         if (!catalogue_.isDirectory(volume_, p.path)) {
-            if (p.path.find_first_of("*?[") == p.path.npos || !pattern(p))
+            if ((p.path.find_first_of("*?[") == p.path.npos || !pattern(p)) && !options_.ignoreMissing)
                 fault("\"" + p.path + "\" is not there (in " + volume_ + ")");
             return;
         }
         if (!options_.recurse && !options_.directories) return fault("skipping directory " + p.path);
         const bool inside = p.path.empty() || p.trailingSlash;
         if (options_.relative) {
-            parents(p.path);
-            directory(p.path, p.path.empty() ? "." : p.path, true, true);
-            if (options_.recurse || inside) tree(p.path, p.path.empty() ? "" : p.path + "/");
+            const auto name = p.path.substr(p.base);
+            parents(p);
+            directory(p.path, name.empty() ? "." : name, true, options_.recurse || inside);
+            const auto prefix = name.empty() ? "" : name + "/";
+            if (options_.recurse) tree(p.path, prefix);
+            else if (inside) shallow(p.path, prefix);
             return;
         }
         const auto base = p.path.substr(p.path.rfind('/') + 1);
         directory(p.path, inside ? "." : base, true, options_.recurse || inside);
         if (options_.recurse) tree(p.path, inside ? "" : base + "/");
-        else if (inside) shallow(p.path);
+        else if (inside) shallow(p.path, "");
     }
     void fault(std::string words) {
         if (out.faults.size() < 100) out.faults.push_back(std::move(words));
@@ -89,23 +92,24 @@
     }
     template <class Then>
     void named(const ModulePath& p, Then then) {
-        if (options_.relative) parents(p.path), then(p.path);
+        if (options_.relative) parents(p), then(p.path.substr(p.base));
         else then(p.path.substr(p.path.rfind('/') + 1));
     }
-    void parents(const std::string& path) {
-        for (auto slash = path.find('/'); slash != path.npos; slash = path.find('/', slash + 1))
-            directory(path.substr(0, slash), path.substr(0, slash), true, false);
+    // The directories on the way, from the base on.
+    void parents(const ModulePath& p) {
+        for (auto slash = p.path.find('/', p.base); slash != p.path.npos; slash = p.path.find('/', slash + 1))
+            directory(p.path.substr(0, slash), p.path.substr(p.base, slash - p.base), false, false);
     }
     // One level, for a plain listing without -r.
-    void shallow(const std::string& path) {
+    void shallow(const std::string& path, const std::string& prefix) {
         const auto skip = path.empty() ? 0 : path.size() + 1;
         for (const auto& v : catalogue_.below(volume_, path)) {
             const auto rest = v->path.substr(skip);
             const auto slash = rest.find('/');
             if (slash != rest.npos)
-                directory(v->path.substr(0, skip + slash), rest.substr(0, slash), false, false);
-            else if (v->kind == Kind::Directory) directory(v->path, rest, false, false);
-            else file(v, rest);
+                directory(v->path.substr(0, skip + slash), prefix + rest.substr(0, slash), false, false);
+            else if (v->kind == Kind::Directory) directory(v->path, prefix + rest, false, false);
+            else file(v, prefix + rest);
         }
     }
     // A shell pattern over whole paths of as many parts.
@@ -119,7 +123,7 @@
             const auto head = v->path.substr(0, end);
             if (wire::rsync::wildMatch(p.path, head)) hits.insert(head);
         }
-        for (const auto& hit : hits) argument({hit, false, ""});
+        for (const auto& hit : hits) argument({hit, false, 0, ""});
         return !hits.empty();
     }
 
@@ -145,10 +149,13 @@
     for (std::size_t at = 0; at <= path.size();) {
         const auto slash = std::min(path.find('/', at), path.size());
         const auto part = path.substr(at, slash - at);
+        if (part == "." && at > 0 && slash < path.size()) out.base = plain.empty() ? 0 : plain.size() + 1;
         if (!part.empty() && part != ".") plain += (plain.empty() ? "" : "/") + part;
         at = slash + 1;
     }
     out.path = plain;
+    if (out.base > plain.size())
+        out.base = plain.size();  // all of it: the list's top is the directory itself
     if (!plain.empty()) {
         const auto why = wire::rsync::faultOfName(plain);
         if (!why.empty()) out.fault = "\"" + plain.substr(0, 200) + "\" " + why;
--- a/src/fronts/rsync/listing.hpp
+++ b/src/fronts/rsync/listing.hpp
@@ -20,10 +20,12 @@
 };
 
 // A path of a client below its module: the module's name and slashes around are taken off, and what
-// faultOfName() refuses is refused. "" is the top.
+// faultOfName() refuses is refused. "" is the top. What lies before a "/./" part is the base of a relative
+// list.
 struct ModulePath {
     std::string path;
     bool trailingSlash = false;
+    std::size_t base = 0;  // bytes of `path` that names in a relative list leave out, its slash included
     std::string fault;
 };
 ModulePath modulePath(const std::string& volume, const std::string& argument);
--- a/src/fronts/rsync/receiving.cpp
+++ b/src/fronts/rsync/receiving.cpp
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace spokewheel::fronts::rsync {
@@ -17,6 +18,7 @@
 constexpr std::uint16_t kTransfer = 1 << 15, kIsNew = 1 << 13, kLocalChange = 1 << 14,
                         kBasisFollows = 1 << 11, kNameFollows = 1 << 12;
 constexpr std::uint64_t kLeastForDelta = 16 * 1024;
+constexpr std::uint32_t kDeleteLimit = 1 << 2;  // of the error bits a client ends by (exit 25)
 constexpr std::size_t kLeastLease = 4096, kListStep = 1000;
 
 std::string join(const std::string& directory, const std::string& name) {
@@ -31,6 +33,7 @@
       agreed_(std::move(agreed)),
       channel_(channel),
       wake_(std::move(wake)),
+      filter_(wire::rsync::Filter::Side::Receiver),
       tokens_(agreed_.options.compress) {
     const auto& o = agreed_.options;
     wire::rsync::ListForm form;
@@ -42,11 +45,16 @@
     form.links = o.links;
     form.devices = o.devices;
     form.specials = o.specials;
-    form.sumBytes = o.checksum ? kSumBytes : 0;
+    form.hardLinks = o.hardLinks;
+    form.sumBytes = o.checksum ? sizeOf(agreed_.listSums) : 0;
     listReader_ = std::make_unique<ListReader>(form);
     if (!o.remove) state_ = State::List;
     target_ = modulePath(agreed_.volume->name, o.paths.empty() ? "" : o.paths.back());
     if (!target_.fault.empty()) broken("path " + target_.fault);
+    if (o.backupDir.empty()) return;
+    const auto dir = modulePath("", o.backupDir);
+    if (!dir.fault.empty()) broken("--backup-dir " + dir.fault);
+    backupDir_ = o.backupDir[0] == '/' ? dir.path : join(target_.path, dir.path.empty() ? "." : dir.path);
 }
 
 Receiving::~Receiving() {
@@ -195,21 +203,16 @@
     return renamed_ ? target_.path : join(target_.path, entry.name);
 }
 
-bool Receiving::sameContent(const FileEntry& e, const FileVersion& shown) const {
-    const auto& o = agreed_.options;
-    if (shown.kind != Kind::File || o.ignoreTimes || e.size != shown.size) return false;
-    if (o.checksum) return agreed_.sums == SumKind::Xxh128 && e.sum == sumOf(shown.digest);
-    if (o.sizeOnly) return true;
-    return e.mtime == shown.mtime && (e.nsec == shown.nsec || !e.nsec || !shown.nsec);
-}
-
 FileVersion Receiving::draft(const FileEntry& e, const std::string& path) const {
     FileVersion v;
     v.path = path;
     v.kind = e.isDirectory() ? Kind::Directory : Kind::File;
-    v.mode = e.mode & 07777;
-    v.mtime = agreed_.options.times ? e.mtime : g_get_real_time() / 1000000;
-    v.nsec = agreed_.options.times ? e.nsec : 0;
+    const auto& o = agreed_.options;
+    const auto shown = agreed_.store->catalogue().find(agreed_.volume->name, path);
+    v.mode = modeFor(e.mode, shown.get(), o);
+    const bool times = o.times && !(o.omitDirTimes && e.isDirectory());
+    v.mtime = times ? e.mtime : g_get_real_time() / 1000000;
+    v.nsec = times ? e.nsec : 0;
     v.version = agreed_.store->catalogue().baseVersion(agreed_.volume->name, path) + 1;
     return v;
 }
@@ -231,9 +234,10 @@
         if (!agreed_.options.dryRun) chores_.push_back(std::move(chore));
     }
     state_ = State::Transfer;
+    const auto empty = agreed_.options.pruneEmpty ? emptyDirectories() : std::set<std::string>();
     for (std::size_t i = 0; i < list_.size(); ++i) {
         const auto& e = list_[i];
-        if (e.dropped) continue;
+        if (e.dropped || (e.isDirectory() && empty.count(e.name))) continue;
         if (const auto why = faultOfName(e.name); !why.empty()) tell(e.name, "name " + why);
         else if (!e.isDirectory() && !e.isFile())
             tell(e.name, (e.mode & kTypeMask) == kSymlink ? "symlinks are not stored"
@@ -243,6 +247,42 @@
     if (agreed_.options.remove) planDeletions();
 }
 
+// Directories of the list below which no file of it lies; the top is never one.
+std::set<std::string> Receiving::emptyDirectories() const {
+    std::set<std::string> out;
+    for (const auto& e : list_)
+        if (e.isDirectory() && e.name != ".") out.insert(e.name);
+    for (const auto& e : list_) {
+        if (e.isDirectory()) continue;
+        for (auto slash = e.name.rfind('/'); slash != e.name.npos && slash > 0;
+             slash = e.name.rfind('/', slash - 1))
+            out.erase(e.name.substr(0, slash));
+    }
+    return out;
+}
+
+// Where what the path shows now is kept when it is replaced or goes; empty: nowhere.
+std::string Receiving::backupOf(const std::string& path) const {
+    const auto& o = agreed_.options;
+    if (!o.backup) return "";
+    if (backupDir_.empty()) return path + o.backupSuffix;
+    const auto skip = target_.path.empty() ? 0 : target_.path.size() + 1;
+    return join(backupDir_, path.substr(std::min(skip, path.size()))) + o.backupSuffix;
+}
+
+void Receiving::keepBackup(const catalogue::Shown& shown, const std::string& path) {
+    if (!shown || shown->kind != Kind::File) return;
+    const auto to = backupOf(path);
+    if (to.empty() || to == path || agreed_.options.dryRun) return;
+    if (const auto why = faultOfName(to); !why.empty()) return tell(to, "name " + why);
+    auto chore = std::make_shared<Chore>();
+    chore->version = *shown;
+    chore->version.path = to;
+    chore->version.version = agreed_.store->catalogue().baseVersion(agreed_.volume->name, to) + 1;
+    chore->contentOf = shown;
+    chores_.push_back(std::move(chore));
+}
+
 void Receiving::planEntry(std::int32_t index, const std::string& path) {
     const auto& e = list_[static_cast<std::size_t>(index)];
     const auto& known = agreed_.store->catalogue();
@@ -251,8 +291,13 @@
     if (e.isDirectory()) {
         if (path.empty() || (!agreed_.options.recurse && !agreed_.options.directories)) return;
         const bool there = known.isDirectory(volume, path);
-        const bool same = there && shown && (!agreed_.options.times || shown->mtime == e.mtime);
-        if (same || agreed_.options.dryRun) return;
+        const auto& o = agreed_.options;
+        if (!there && o.existing) return;
+        if (there && shown && shown->kind == Kind::File) return tell(path, "is a file");
+        const bool sameTimes = !o.times || o.omitDirTimes || (shown && shown->mtime == e.mtime);
+        const bool sameMode = !o.perms || (shown && shown->mode == (e.mode & 07777));
+        const bool same = there && sameTimes && sameMode;
+        if (same || o.dryRun) return;
         if (!there) {
             out_.put(channel_.out(), index);
             putU16(channel_.out(), kIsNew | kLocalChange);
@@ -262,15 +307,26 @@
         return chores_.push_back(std::move(chore));
     }
     if (known.isDirectory(volume, path)) return tell(path, "is a directory");
-    if (!shown || !sameContent(e, *shown)) return todo_.push_back(index);
-    const bool times = agreed_.options.times && (e.mtime != shown->mtime);
-    const bool mode = agreed_.options.perms && (e.mode & 07777) != shown->mode;
-    if (!(times || mode) || agreed_.options.dryRun) return;
+    const auto& o = agreed_.options;
+    const bool sums = shown && o.checksum && agreed_.listSums == SumKind::Xxh128;
+    switch (wanted(e, shown.get(), sums ? sumOf(shown->digest) : "", o)) {
+        case Wanted::Skip:
+            return;
+        case Wanted::Transfer:
+            return todo_.push_back(index);
+        case Wanted::Same:
+            break;
+    }
+    if (o.removeSource) succeeded(index);
+    const bool times =
+        o.times && !sameTime(e.mtime, e.nsec, shown->mtime, shown->nsec, std::min(o.modifyWindow, 0));
+    const bool mode = modeFor(e.mode, shown.get(), o) != shown->mode;
+    if (!(times || mode) || o.dryRun) return;
     auto chore = std::make_shared<Chore>();
     chore->version = draft(e, path);
     chore->version.size = shown->size;
     chore->version.digest = shown->digest;
-    if (!agreed_.options.times) chore->version.mtime = shown->mtime, chore->version.nsec = shown->nsec;
+    if (!o.times) chore->version.mtime = shown->mtime, chore->version.nsec = shown->nsec;
     chore->contentOf = shown;
     chores_.push_back(std::move(chore));
 }
@@ -278,7 +334,8 @@
 // What lies in a directory of the list and is not in the list goes, unless a rule excludes it; nothing goes
 // where the client could not read all it has, or where this host does not know all that is stored.
 void Receiving::planDeletions() {
-    if (listReader_->ioError()) return tell(target_.path, "the client had errors: nothing is deleted");
+    if (listReader_->ioError() && !agreed_.options.ignoreErrors)
+        return tell(target_.path, "the client had errors: nothing is deleted");
     if (!context_.complete()) return tell(target_.path, "not all nodes have been read: nothing is deleted");
     std::set<std::string> named, content;
     for (const auto& e : list_) {
@@ -286,11 +343,13 @@
         if (e.isDirectory() && e.content) content.insert(pathOf(e));
     }
     std::set<std::string> gone;
+    std::uint64_t left = agreed_.options.maxDelete.value_or(UINT64_MAX), over = 0;
     const auto skip = target_.path.empty() ? 0 : target_.path.size() + 1;
     for (const auto& v : agreed_.store->catalogue().below(agreed_.volume->name, target_.path)) {
         const auto slash = v->path.rfind('/');
         const auto parent = slash == v->path.npos ? "" : v->path.substr(0, slash);
         if (named.count(v->path) || (!content.count(parent) && !gone.count(parent))) continue;
+        if (inBackups(v->path)) continue;
         if (filter_.excluded(std::string_view(v->path).substr(skip), v->kind == Kind::Directory)) continue;
         if (v->kind == Kind::Directory) gone.insert(v->path);
         auto chore = std::make_shared<Chore>();
@@ -300,9 +359,41 @@
         chore->version.mtime = g_get_real_time() / 1000000;
         chore->removed = v->path.substr(skip);
         if (v->kind == Kind::Directory) chore->removed += '\0';  // how the client knows a directory
+        if (left == 0) {
+            ++over;
+            continue;
+        }
+        --left;
         ++(v->kind == Kind::Directory ? deletedDirectories_ : deleted_);
+        if (!isBackup(v->path)) keepBackup(v, v->path);
         chores_.push_back(std::move(chore));
     }
+    if (over == 0) return;
+    channel_.message(Message::Warning,
+                     "Deletions stopped due to --max-delete limit (" + std::to_string(over) + " skipped)\n");
+    std::string code;
+    putU32(code, kDeleteLimit);
+    channel_.message(Message::IoError, code);
+}
+
+// Backups lie within what is uploaded to: they are not what the client left out.
+bool Receiving::inBackups(const std::string& path) const {
+    return !backupDir_.empty() && backupDir_ != target_.path &&
+           (path == backupDir_ || path.rfind(backupDir_ + "/", 0) == 0 ||
+            backupDir_.rfind(path + "/", 0) == 0);
+}
+bool Receiving::isBackup(const std::string& path) const {
+    const auto& suffix = agreed_.options.backupSuffix;
+    return backupDir_.empty() && path.size() > suffix.size() &&
+           path.compare(path.size() - suffix.size(), suffix.size(), suffix) == 0;
+}
+
+// The client takes its own away only once it is told.
+void Receiving::succeeded(std::int32_t index) {
+    if (agreed_.options.dryRun) return;
+    std::string text;
+    putU32(text, static_cast<std::uint32_t>(index));
+    channel_.message(Message::Success, text);
 }
 
 // ---------------------------------------------------------------- small writes
@@ -486,9 +577,10 @@
     auto in = channel_.input();
     const auto before = in.size();
     if (wantsSum_) {
-        if (in.size() < kSumBytes) return false;
-        const std::string sum(in.substr(0, kSumBytes));
-        channel_.took(kSumBytes);
+        const auto n = sizeOf(agreed_.sums);
+        if (in.size() < n) return false;
+        const std::string sum(in.substr(0, n));
+        channel_.took(n);
         ended(sum);
         return true;
     }
@@ -548,13 +640,14 @@
 void Receiving::ended(std::string_view sum) {
     auto& f = *current_;
     f.ended = true;
-    f.verified = f.sum() == sum;
+    f.verified = f.whole.wire() == sum;
     f.version.size = f.size;
-    f.version.digest = f.digest();
+    f.version.digest = f.stored.hex();
     wantsSum_ = false;
     asked_.erase(f.index);
     bases_.erase(f.index);
-    if (!f.pieces.empty()) flushPiece(current_);
+    // What is shown only at the end must not fill the memory until then: all of it goes out as pieces.
+    if (!f.pieces.empty() || (agreed_.options.delayUpdates && f.size > 0)) flushPiece(current_);
     const auto file = std::exchange(current_, nullptr);
     settle(file);
 }
@@ -567,21 +660,35 @@
         f->fault = "its content did not match its checksum, twice";
     }
     if (!f->fault.empty()) return tell(f->version.path, f->fault);
-    commit(f);
+    if (agreed_.options.delayUpdates) delayed_.push_back({f->index, f->version, std::move(f->pieces)});
+    else commit({f->index, f->version, std::move(f->pieces)}, std::move(f->piece), f);
 }
 
-void Receiving::commit(const std::shared_ptr<Incoming>& f) {
-    std::shared_ptr<const std::string> body;
-    if (f->pieces.empty()) body = std::make_shared<const std::string>(f->piece);
-    else {
-        f->version.layout = Layout::Manifest;
-        body = std::make_shared<const std::string>(catalogue::encode(f->pieces));
+// `keep` holds the memory that the content has, until the answer.
+void Receiving::commit(Whole whole, std::string content, std::shared_ptr<void> keep) {
+    if (!whole.pieces.empty()) {
+        whole.version.layout = Layout::Manifest;
+        content = catalogue::encode(whole.pieces);
     }
+    const auto& path = whole.version.path;
+    keepBackup(agreed_.store->catalogue().find(agreed_.volume->name, path), path);
     const auto ticket = ++nextTicket_;
-    open_[ticket] = agreed_.store->writeVersion(*agreed_.volume, f->version, body,
-                                                track<WriteResult>(ticket, [this, f](WriteResult r) {
-                                                    if (!r.fine) tell(f->version.path, r.words);
-                                                }));
+    open_[ticket] = agreed_.store->writeVersion(
+        *agreed_.volume, whole.version, std::make_shared<const std::string>(std::move(content)),
+        track<WriteResult>(ticket, [this, path, index = whole.index, keep](WriteResult r) {
+            if (!r.fine) tell(path, r.words);
+            else if (agreed_.options.removeSource) succeeded(index);
+        }));
+}
+
+// --delay-updates: all are shown once the last has come.
+bool Receiving::showDelayed() {
+    while (!delayed_.empty() && open_.size() < allowed()) {
+        auto whole = std::move(delayed_.front());
+        delayed_.pop_front();
+        commit(std::move(whole), "", nullptr);
+    }
+    return delayed_.empty();
 }
 
 // ---------------------------------------------------------------- rounds
@@ -602,6 +709,7 @@
             request();
             if (!todo_.empty()) return false;
         }
+        if (doneSent_ == 2 && (!showDelayed() || !quiet())) return false;
         out_.put(channel_.out(), kDone);
         ++doneSent_;
         return true;
--- a/src/fronts/rsync/receiving.hpp
+++ b/src/fronts/rsync/receiving.hpp
@@ -10,6 +10,7 @@
 
 #include "fronts/rsync/basis.hpp"
 #include "fronts/rsync/context.hpp"
+#include "fronts/rsync/decide_wanted.hpp"
 #include "fronts/rsync/incoming.hpp"
 #include "fronts/rsync/listing.hpp"
 
@@ -39,7 +40,6 @@
     void planEntry(std::int32_t index, const std::string& path);
     void planDeletions();
     std::string pathOf(const wire::rsync::FileEntry& entry) const;
-    bool sameContent(const wire::rsync::FileEntry& entry, const catalogue::FileVersion& shown) const;
     catalogue::FileVersion draft(const wire::rsync::FileEntry& entry, const std::string& path) const;
 
     bool request();  // the generator's part: asks the client for files
@@ -54,7 +54,20 @@
                   std::shared_ptr<const std::string> body, std::shared_ptr<host::Memory::Lease> lease);
     void ended(std::string_view sum);
     void settle(const std::shared_ptr<Incoming>& file);
-    void commit(const std::shared_ptr<Incoming>& file);
+    // A file of which all is stored but what shows it.
+    struct Whole {
+        std::int32_t index = 0;
+        catalogue::FileVersion version;
+        std::vector<catalogue::Piece> pieces;
+    };
+    void commit(Whole whole, std::string content, std::shared_ptr<void> keep);
+    bool showDelayed();
+    std::set<std::string> emptyDirectories() const;
+    std::string backupOf(const std::string& path) const;
+    void keepBackup(const catalogue::Shown& shown, const std::string& path);
+    bool inBackups(const std::string& path) const;
+    bool isBackup(const std::string& path) const;
+    void succeeded(std::int32_t index);
     bool chores();
     void runChore(std::shared_ptr<Chore> chore);
     void writeChore(const std::shared_ptr<Chore>& chore, std::shared_ptr<const std::string> body);
@@ -93,6 +106,8 @@
     std::deque<std::shared_ptr<Chore>> chores_;
     std::map<std::uint64_t, std::string> open_;  // tickets of requests without an answer, with their ids
     std::uint64_t nextTicket_ = 0;
+    std::deque<Whole> delayed_;
+    std::string backupDir_;
     std::size_t choresOpen_ = 0;
     std::size_t untold_ = 0;  // faults that the client was not told by name
     int doneSent_ = 0, doneSeen_ = 0, deleted_ = 0, deletedDirectories_ = 0;
--- a/src/fronts/rsync/sending.cpp
+++ b/src/fronts/rsync/sending.cpp
@@ -77,7 +77,9 @@
       agreed_(std::move(agreed)),
       channel_(channel),
       wake_(std::move(wake)),
-      tokens_(agreed_.options.compress) {
+      filter_(wire::rsync::Filter::Side::Sender),
+      tokens_(agreed_.options.compress, agreed_.options.compressLevel),
+      throttle_(agreed_.options.bytesPerS) {
     for (const auto& p : agreed_.options.paths) paths_.push_back(modulePath(agreed_.volume->name, p));
 }
 
@@ -142,6 +144,7 @@
             return channel_.blocked() ? Waits::Room : Waits::Nothing;
         case State::Serve: {
             if (channel_.blocked()) return Waits::Room;
+            if (pause_) return Waits::Timer;
             if (jobs_.empty()) return Waits::Client;
             // The first job stands still only for content that was asked for and has not come.
             const auto& job = *jobs_.front();
@@ -189,7 +192,11 @@
     for (const auto& n : names_) {
         auto p = modulePath("", n);
         p.trailingSlash = n.back() == '/';
-        if (p.fault.empty() && !base.path.empty()) p.path = base.path + (p.path.empty() ? "" : "/" + p.path);
+        // Names in the list are those that the client gave: what it asked below is their base.
+        if (p.fault.empty() && !base.path.empty()) {
+            p.base += base.path.size() + (p.path.empty() ? 0 : 1);
+            p.path = base.path + (p.path.empty() ? "" : "/" + p.path);
+        }
         paths_.push_back(std::move(p));
     }
     names_.clear();
@@ -230,7 +237,7 @@
     form.safeEnd = agreed_.flags & kSafeList;
     form.uids = o.uids;
     form.gids = o.gids;
-    form.sumBytes = o.checksum ? kSumBytes : 0;
+    form.sumBytes = o.checksum ? sizeOf(agreed_.listSums) : 0;
     listWriter_ = std::make_unique<ListWriter>(form);
     state_ = State::List;
 }
@@ -449,14 +456,28 @@
         putSumHead(out, job.sums.head);
         job.matcher = std::make_unique<Matcher>(std::move(job.sums), agreed_.sums, md5, agreed_.seed,
                                                 agreed_.seedFirst());
-        if (agreed_.sums == SumKind::Md5)
-            job.md5 = {g_checksum_new(G_CHECKSUM_MD5),
-                       [](void* p) { g_checksum_free(static_cast<GChecksum*>(p)); }};
+        // The sum that is stored needs no counting.
+        if (agreed_.sums != SumKind::Xxh128) job.sum = std::make_unique<FileSum>(agreed_.sums);
     }
     while (job.sent < job.pieces.size() && job.fault.empty()) {
         const auto found = job.slots.find(job.sent);
         if (found == job.slots.end() || !found->second.ready) return false;
-        pass(job, found->second.body);
+        auto& slot = found->second;
+        if (throttle_.on()) {
+            const double wait = throttle_.waitMs(context_.now());
+            if (wait > 0) {
+                pause_ = context_.after(wait, [this] {
+                    pause_.reset();
+                    wake_();
+                });
+                return false;
+            }
+            const auto part = std::string_view(slot.body).substr(slot.passed, throttle_.slice());
+            throttle_.wrote(part.size(), context_.now());
+            slot.passed += part.size();
+            pass(job, part);
+            if (slot.passed < slot.body.size()) continue;
+        } else pass(job, slot.body);
         job.slots.erase(found);
         ++job.sent;
         ++passed_;
@@ -470,9 +491,7 @@
 
 void Sending::pass(Job& job, std::string_view bytes) {
     written_ += bytes.size();
-    if (job.md5)
-        g_checksum_update(static_cast<GChecksum*>(job.md5.get()),
-                          reinterpret_cast<const guchar*>(bytes.data()), static_cast<gssize>(bytes.size()));
+    if (job.sum) job.sum->add(bytes);
     // Nothing to match and nothing to pack: the bytes go out as they are.
     if (!job.matcher->matches() && !agreed_.options.compress) channel_.literal(bytes);
     else job.matcher->feed(bytes, tokens_, channel_.out());
@@ -484,12 +503,8 @@
     job.matcher->finish(tokens_, out);
     tokens_.end(out);
     std::string sum;
-    if (job.md5) {
-        guint8 bytes[16];
-        gsize n = sizeof bytes;
-        g_checksum_get_digest(static_cast<GChecksum*>(job.md5.get()), bytes, &n);
-        sum.assign(reinterpret_cast<char*>(bytes), n);
-    } else sum = sumOf(job.version->digest.empty() ? catalogue::hex128("") : job.version->digest);
+    if (job.sum) sum = job.sum->wire();
+    else sum = sumOf(job.version->digest.empty() ? catalogue::hex128("") : job.version->digest);
     if (!job.fault.empty()) {
         // Failed half-way: a checksum that can't match makes the client throw away what it has, as the
         // stock sender does on a read error; it asks again in the second round.
--- a/src/fronts/rsync/sending.hpp
+++ b/src/fronts/rsync/sending.hpp
@@ -7,7 +7,9 @@
 #include <memory>
 #include <vector>
 
+#include "fronts/decide_throttle.hpp"
 #include "fronts/rsync/context.hpp"
+#include "fronts/rsync/file_sum.hpp"
 #include "fronts/rsync/listing.hpp"
 #include "wire/rsync/delta.hpp"
 
@@ -25,6 +27,7 @@
     enum class State { Filter, Names, Wait, List, Serve, Goodbye, Over };
     struct Slot {  // one object asked for
         std::string body, request;
+        std::size_t passed = 0;  // bytes of the body that went out
         bool ready = false;
         host::Memory::Lease lease;
     };
@@ -43,7 +46,7 @@
         std::size_t asked = 0, sent = 0;
         std::string fault;
         std::unique_ptr<wire::rsync::Matcher> matcher;
-        std::unique_ptr<void, void (*)(void*)> md5{nullptr, nullptr};
+        std::unique_ptr<FileSum> sum;
     };
     using JobPtr = std::shared_ptr<Job>;
 
@@ -87,7 +90,8 @@
     std::uint64_t written_ = 0, passed_ = 0;  // bytes; pieces
     bool moving_ = false;
     host::Memory::Lease listLease_;
-    std::shared_ptr<void> retry_;
+    std::shared_ptr<void> retry_, pause_;
+    Throttle throttle_;
 };
 
 }  // namespace spokewheel::fronts::rsync
--- a/src/fronts/rsync/session.cpp
+++ b/src/fronts/rsync/session.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 const std::vector<std::string> kDigests = {"sha512", "sha256", "sha1", "md5"};
-const std::vector<std::string> kSums = {"xxh128", "md5"};
+const std::vector<std::string> kSums = {"xxh128", "xxh3", "xxh64", "md5"};
 const std::vector<std::string> kPackers = {"zstd"};
 constexpr double kStuckMs = 30000;
 constexpr int kSyntax = 1, kUnsupported = 4, kProtocol = 2, kTimeout = 30;
@@ -134,8 +134,9 @@
 bool Session::takeLine(std::string& line, char end) {
     const auto in = channel_->input();
     const auto at = in.find(end);
-    if (at == in.npos || at > kMostLine) {
-        if (in.size() > kMostLine) error("line too long");
+    const auto most = end == '\0' ? kMostArgument : kMostLine;
+    if (at == in.npos || at > most) {
+        if (in.size() > most) error("line too long");
         return false;
     }
     line = in.substr(0, at);
@@ -171,9 +172,10 @@
             if (!takeLine(line, '\0')) return false;
             argumentBytes_ += line.size() + 1;
             if (line.empty()) onArguments();
-            else if (arguments_.size() >= kMostArguments || argumentBytes_ > kMostArgumentBytes)
+            else if (arguments_.size() + secluded_.size() >= kMostArguments ||
+                     argumentBytes_ > kMostArgumentBytes)
                 error("too many arguments");
-            else arguments_.push_back(line);
+            else (inSecluded_ ? secluded_ : arguments_).push_back(line);
             return true;
         case State::Agree:
             return readAgreement();
@@ -245,7 +247,9 @@
 }
 
 void Session::onArguments() {
-    auto parsed = parseOptions(arguments_);
+    if (!secluded_.empty()) secluded_.erase(secluded_.begin());  // the program's name
+    auto parsed = parseOptions(arguments_, secluded_);
+    if (parsed.options.secluded && !std::exchange(inSecluded_, true)) return;  // the rest is in a second list
     agreed_.options = std::move(parsed.options);
     optionError_ = parsed.error.empty() ? "" : "not supported: " + parsed.error;
     agreed_.flags = compatFlags(agreed_.options);
@@ -258,8 +262,9 @@
     std::string out;
     putVarint(out, static_cast<std::int32_t>(agreed_.flags));
     if (agreed_.flags & kVarintFlags) {
-        putVstring(out, "xxh128 md5");
-        if (agreed_.options.compress) putVstring(out, "zstd");
+        // A side that was told which one to use sends no list of them, nor does the other.
+        if (listsSums()) putVstring(out, "xxh128 xxh3 xxh64 md5");
+        if (listsPackers()) putVstring(out, "zstd");
     }
     channel_->raw(out);
     state_ = State::Agree;
@@ -268,18 +273,19 @@
 bool Session::readAgreement() {
     if (agreed_.flags & kVarintFlags) {
         Reader r(channel_->input());
-        const auto sums = words(r.vstring(512));
-        const auto packers = agreed_.options.compress ? words(r.vstring(512)) : kPackers;
+        const auto sums = listsSums() ? words(r.vstring(512)) : kSums;
+        const auto packers = listsPackers() ? words(r.vstring(512)) : kPackers;
         if (r.bad()) return error("malformed negotiation"), false;
         if (!r.enough()) return false;
         channel_->took(r.used());
         const auto sum = choose(sums, kSums);
-        agreed_.sums = sum == "xxh128" ? SumKind::Xxh128 : SumKind::Md5;
+        if (listsSums()) agreed_.sums = agreed_.listSums = sumKind(sum).value_or(SumKind::Md5);
         if (sum.empty()) optionError_ = "no checksum in common: xxh128 or md5 is needed";
         if (choose(packers, kPackers).empty()) optionError_ = "no compression in common: zstd is needed";
-    } else if (agreed_.options.compress)
-        optionError_ = "not supported: option -z without zstd (an older client)";
-    agreed_.seed = static_cast<std::int32_t>(g_random_int());
+    } else if (listsPackers()) optionError_ = "not supported: option -z without zstd (an older client)";
+    chooseSums();
+    agreed_.seed = agreed_.options.checksumSeed;
+    if (agreed_.seed == 0) agreed_.seed = static_cast<std::int32_t>(g_random_int());
     if (agreed_.seed == 0) agreed_.seed = 1;
     std::string out;
     putU32(out, static_cast<std::uint32_t>(agreed_.seed));
@@ -289,8 +295,10 @@
     const auto& o = agreed_.options;
     if (optionError_.empty() && !o.sender && agreed_.volume->readOnly)
         optionError_ = "volume " + agreed_.volume->name + " is read-only";
-    if (optionError_.empty() && o.sender && o.checksum && agreed_.sums != SumKind::Xxh128)
-        optionError_ = "not supported: option -c without xxh128 (an older client)";
+    if (optionError_.empty() && o.sender && o.checksum && agreed_.listSums != SumKind::Xxh128)
+        optionError_ =
+            "not supported: option -c by any checksum but xxh128, which is what is stored (leave "
+            "--checksum-choice out; an older client: leave -c out)";
     if (!optionError_.empty()) {
         context_.note("options_refused", name_, optionError_);
         fail(optionError_, kUnsupported);
@@ -300,6 +308,24 @@
     return true;
 }
 
+bool Session::listsSums() const { return agreed_.options.checksumChoice.empty(); }
+bool Session::listsPackers() const {
+    return agreed_.options.compress && agreed_.options.compressChoice.empty();
+}
+
+// "NAME", or "NAME,NAME": for the transfer, and for -c.
+void Session::chooseSums() {
+    const auto& choice = agreed_.options.checksumChoice;
+    if (choice.empty()) return;
+    const auto comma = std::min(choice.find(','), choice.size());
+    const auto first = sumKind(choice.substr(0, comma));
+    const auto second = comma == choice.size() ? first : sumKind(choice.substr(comma + 1));
+    if (first && second) agreed_.sums = *first, agreed_.listSums = *second;
+    else if (optionError_.empty())
+        optionError_ = "not supported: option --checksum-choice=" + choice.substr(0, 100) +
+                       " (xxh128, xxh3, xxh64 and md5 are spoken)";
+}
+
 void Session::startHalf() {
     const std::weak_ptr<Session> weak = weak_from_this();
     const auto wake = [weak] {
--- a/src/fronts/rsync/session.hpp
+++ b/src/fronts/rsync/session.hpp
@@ -33,6 +33,9 @@
     void onArguments();
     void agree();
     bool readAgreement();
+    bool listsSums() const;
+    bool listsPackers() const;
+    void chooseSums();
     void startHalf();
     void error(const std::string& words);  // before the stream: a line
     void fail(const std::string& words, int code);
@@ -49,7 +52,8 @@
     std::function<void()> over_;
     State state_ = State::Greeting;
     Agreed agreed_;
-    std::vector<std::string> digests_, arguments_;
+    std::vector<std::string> digests_, arguments_, secluded_;
+    bool inSecluded_ = false;
     std::string challenge_, optionError_;
     std::size_t argumentBytes_ = 0;
     std::unique_ptr<Store> store_;  // let go after the half, which uses it
--- a/src/wire/rsync/bytes.cpp
+++ b/src/wire/rsync/bytes.cpp
@@ -70,6 +70,10 @@
     putU16(out, static_cast<std::uint16_t>(x & 0xffff));
     putU16(out, static_cast<std::uint16_t>(x >> 16));
 }
+void putU64(std::string& out, std::uint64_t x) {
+    putU32(out, static_cast<std::uint32_t>(x));
+    putU32(out, static_cast<std::uint32_t>(x >> 32));
+}
 namespace {
 void putLeast(std::string& out, std::uint64_t x, std::size_t most, std::size_t least) {
     std::array<std::uint8_t, 9> b{};
--- a/src/wire/rsync/bytes.hpp
+++ b/src/wire/rsync/bytes.hpp
@@ -39,6 +39,7 @@
 
 void putU16(std::string& out, std::uint16_t x);
 void putU32(std::string& out, std::uint32_t x);
+void putU64(std::string& out, std::uint64_t x);
 void putVarint(std::string& out, std::int32_t x);
 void putVarlong(std::string& out, std::int64_t x, std::size_t least);
 void putVstring(std::string& out, std::string_view text);
--- a/src/wire/rsync/file_list.hpp
+++ b/src/wire/rsync/file_list.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,7 +32,7 @@
 struct ListForm {
     int protocol = 31;
     bool varintFlags = true, safeEnd = true, uids = false, gids = false, links = false, devices = false,
-         specials = false, idNames0 = false;
+         specials = false, hardLinks = false, idNames0 = false;
     std::size_t sumBytes = 0;  // 0: no checksums in the list
 };
 
@@ -50,6 +51,15 @@
     bool names(Reader& r) const;
     ListForm form_;
     FileEntry last_;
+    // What the first of a group of hard links has, by its place in the list, for those that name it.
+    struct Body {
+        std::uint64_t size;
+        std::int64_t mtime;
+        std::uint32_t nsec, mode;
+        std::string sum;
+    };
+    std::map<std::int32_t, Body> firsts_;
+    std::int32_t count_ = 0;
     std::string error_;
     int ioError_ = 0;
     bool ended_ = false, anyDevice_ = false;
--- a/src/wire/rsync/options.hpp
+++ b/src/wire/rsync/options.hpp
@@ -11,7 +11,9 @@
 namespace spokewheel::wire::rsync {
 
 constexpr int kNewestProtocol = 32, kOldestProtocol = 30;
-constexpr std::size_t kMostLine = 1024, kMostArguments = 256, kMostArgumentBytes = 64 * 1024;
+constexpr int kMostBlockSize = 1 << 17;
+constexpr std::size_t kMostLine = 1024, kMostArgument = 8192, kMostArguments = 256,
+                      kMostArgumentBytes = 64 * 1024;
 
 struct Greeting {
     int protocol = 0;
@@ -25,11 +27,32 @@
 std::vector<std::string> words(std::string_view text);
 
 struct Options {
-    bool sender = false;  // this side sends: the client pulls
-    bool recurse = false, directories = false, times = false, dryRun = false, checksum = false,
-         ignoreTimes = false, compress = false, sizeOnly = false, wholeFile = false, remove = false,
-         listOnly = false, relative = false, filesFrom = false, from0 = false, partial = false, uids = false,
-         gids = false, links = false, devices = false, specials = false, perms = false, deleteStats = false;
+    bool sender = false;    // this side sends: the client pulls
+    bool secluded = false;  // more arguments follow in a list of their own
+    // What is transferred.
+    bool recurse = false, directories = false, relative = false, filesFrom = false, from0 = false,
+         listOnly = false, pruneEmpty = false, ignoreMissing = false;
+    // Which of it is wanted where something is there already.
+    bool checksum = false, ignoreTimes = false, sizeOnly = false, update = false, existing = false,
+         ignoreExisting = false;
+    int modifyWindow = 0;  // seconds; -1: nanoseconds count
+    std::optional<std::uint64_t> minSize, maxSize;
+    // How.
+    bool dryRun = false, compress = false, wholeFile = false, partial = false, delayUpdates = false;
+    int compressLevel = 3, blockSize = 0;
+    std::uint64_t bytesPerS = 0;                 // 0: as fast as it goes
+    std::string checksumChoice, compressChoice;  // named by the client, so that neither side sends a list
+    std::int32_t checksumSeed = 0;
+    // What is kept of it.
+    bool times = false, omitDirTimes = false, perms = false, executability = false, uids = false,
+         gids = false, links = false, devices = false, specials = false, hardLinks = false;
+    // What goes.
+    bool remove = false, removeExcluded = false, ignoreErrors = false, removeSource = false,
+         deleteStats = false;
+    std::optional<std::uint64_t> maxDelete;
+    bool backup = false;
+    std::string backupSuffix, backupDir;
+
     int verbose = 0;
     int timeoutS = 0;
     std::string capabilities;  // letters the client sent with -e.
@@ -40,15 +63,21 @@
     Options options;
     std::string error;  // names the option; empty where all is understood
 };
-ParsedOptions parseOptions(const std::vector<std::string>& arguments);
+// `arguments` as they came; those of a secluded list (`more`, without its first, the program's name) are
+// taken as they are, the others lose the backslashes that the client puts before what a shell would read.
+ParsedOptions parseOptions(const std::vector<std::string>& arguments,
+                           const std::vector<std::string>& more = {});
 
 // What this side answers to the capabilities (compat flags), and what follows from it.
 constexpr std::uint32_t kSafeList = 1u << 3, kSeedFix = 1u << 5, kVarintFlags = 1u << 7;
 std::uint32_t compatFlags(const Options& options);
 
-// Include and exclude rules as a client sends them; the first that matches decides.
+// Include and exclude rules as a client sends them; the first that matches decides. A rule may be for one
+// side alone: what the sender hides, or what the receiver protects from deletion.
 class Filter {
   public:
+    enum class Side { Sender, Receiver };
+    explicit Filter(Side side) : side_(side) {}
     // Empty, or why the rule can't be used.
     std::string add(std::string_view rule);
     // Names are relative to the top of the transfer. A directory above that is excluded excludes too.
@@ -59,9 +88,14 @@
   private:
     struct Rule {
         std::string pattern;
-        bool include = false, anchored = false, directoryOnly = false, path = false;
+        bool include = false, anchored = false, directoryOnly = false, negated = false;
+        bool wild = false, deep = false;       // has wildcards; has "**"
+        bool deepFirst = false, tree = false;  // begins with "**"; ends with "/***"
+        std::size_t slashes = 0;
     };
+    bool matches(const Rule& rule, std::string_view name, bool directory) const;
     bool excludedItself(std::string_view name, bool directory) const;
+    Side side_;
     std::vector<Rule> rules_;
     std::size_t bytes_ = 0;
 };
--- a/src/wire/rsync/tokens.cpp
+++ b/src/wire/rsync/tokens.cpp
@@ -10,12 +10,21 @@
 namespace {
 
 constexpr std::size_t kLiteral = 32 * 1024, kPacked = 16383, kUnpacked = 64 * 1024;
-constexpr int kLevel = 3;
 constexpr std::uint8_t kEnd = 0x00, kLong = 0x20, kRunLong = 0x21, kDeflated = 0x40, kRel = 0x80,
                        kRunRel = 0xc0;
 
 }  // namespace
 
+std::size_t sizeOf(SumKind kind) { return kind == SumKind::Xxh64 || kind == SumKind::Xxh3 ? 8 : kSumBytes; }
+
+std::optional<SumKind> sumKind(std::string_view name) {
+    if (name == "xxh128") return SumKind::Xxh128;
+    if (name == "xxh3") return SumKind::Xxh3;
+    if (name == "xxh64" || name == "xxhash") return SumKind::Xxh64;
+    if (name == "md5") return SumKind::Md5;
+    return std::nullopt;
+}
+
 void putSumHead(std::string& out, const SumHead& head) {
     for (const auto x : {head.count, head.length, head.sumBytes, head.remainder})
         putU32(out, static_cast<std::uint32_t>(x));
@@ -46,10 +55,14 @@
     std::string out;
     if (kind == SumKind::Xxh128) {
         const auto sum = XXH3_128bits_withSeed(block.data(), block.size(), static_cast<XXH64_hash_t>(seed));
-        for (const auto half : {sum.low64, sum.high64}) {
-            putU32(out, static_cast<std::uint32_t>(half));
-            putU32(out, static_cast<std::uint32_t>(half >> 32));
-        }
+        putU64(out, sum.low64);
+        putU64(out, sum.high64);
+        return out;
+    }
+    if (kind == SumKind::Xxh3 || kind == SumKind::Xxh64) {
+        const auto from = static_cast<XXH64_hash_t>(seed);
+        putU64(out, kind == SumKind::Xxh3 ? XXH3_64bits_withSeed(block.data(), block.size(), from)
+                                          : XXH64(block.data(), block.size(), from));
         return out;
     }
     std::string salt;
@@ -161,6 +174,7 @@
 // ---------------------------------------------------------------- writing
 struct TokenWriter::State {
     bool zstd = false, dirty = false;
+    int level = 3;
     ZSTD_CCtx* stream = nullptr;
     std::int32_t runStart = -1, last = -1, lastRunEnd = 0;
     ~State() { ZSTD_freeCCtx(stream); }
@@ -168,7 +182,7 @@
     void pack(std::string& out, std::string_view bytes, bool flush) {
         if (!stream) {
             stream = ZSTD_createCCtx();
-            ZSTD_CCtx_setParameter(stream, ZSTD_c_compressionLevel, kLevel);
+            ZSTD_CCtx_setParameter(stream, ZSTD_c_compressionLevel, level);
         }
         ZSTD_inBuffer from{bytes.data(), bytes.size(), 0};
         std::array<char, kPacked> room;
@@ -198,7 +212,10 @@
         last = -1;
     }
 };
-TokenWriter::TokenWriter(bool zstd) : state_(std::make_unique<State>()) { state_->zstd = zstd; }
+TokenWriter::TokenWriter(bool zstd, int level) : state_(std::make_unique<State>()) {
+    state_->zstd = zstd;
+    state_->level = level;
+}
 TokenWriter::~TokenWriter() = default;
 TokenWriter::TokenWriter(TokenWriter&&) noexcept = default;
 TokenWriter& TokenWriter::operator=(TokenWriter&&) noexcept = default;
--- a/src/wire/rsync/tokens.hpp
+++ b/src/wire/rsync/tokens.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,8 +14,11 @@
 namespace spokewheel::wire::rsync {
 
 // Kinds of checksum that are spoken here, named as they are negotiated.
-enum class SumKind { Md5, Xxh128 };
-constexpr std::size_t kSumBytes = 16;
+enum class SumKind { Md5, Xxh64, Xxh3, Xxh128 };
+constexpr std::size_t kSumBytes = 16;  // the most that any has
+std::size_t sizeOf(SumKind kind);      // bytes on the wire
+// By its name in the protocol; nothing for one that is not spoken.
+std::optional<SumKind> sumKind(std::string_view name);
 
 // MD5 is handed in, so that this layer needs no digest library of its own.
 using Md5 = std::string (*)(std::string_view first, std::string_view second);
@@ -69,7 +73,7 @@
 };
 class TokenWriter {
   public:
-    explicit TokenWriter(bool zstd);
+    explicit TokenWriter(bool zstd, int level = 3);
     ~TokenWriter();
     TokenWriter(TokenWriter&&) noexcept;
     TokenWriter& operator=(TokenWriter&&) noexcept;
