--- a/src/fronts/rsync/receiving.cpp
+++ b/src/fronts/rsync/receiving.cpp
@@ -323,6 +323,13 @@
         case Wanted::Same:
             break;
     }
+    sameAsShown(index, shown);
+}
+
+// The content is there: only times and modes may have to follow.
+void Receiving::sameAsShown(std::int32_t index, const catalogue::Shown& shown) {
+    const auto& o = agreed_.options;
+    const auto& e = list_[static_cast<std::size_t>(index)];
     if (o.removeSource) succeeded(index);
     // A time within the window is left as it is; where content was compared (-c) it is set to the second.
     const int window = o.checksum ? 0 : o.modifyWindow;
@@ -330,10 +337,10 @@
     const bool mode = modeFor(e.mode, shown.get(), o) != shown->mode;
     if (!(times || mode) || o.dryRun) return;
     auto chore = std::make_shared<Chore>();
-    chore->version = draft(e, path);
+    chore->version = draft(e, shown->path);
     chore->version.size = shown->size;
     chore->version.digest = shown->digest;
-    if (!o.times) chore->version.mtime = shown->mtime, chore->version.nsec = shown->nsec;
+    if (!times) chore->version.mtime = shown->mtime, chore->version.nsec = shown->nsec;
     chore->contentOf = shown;
     chores_.push_back(std::move(chore));
 }
@@ -351,16 +358,20 @@
         named.insert(pathOf(e));
         if (e.isDirectory() && e.content) content.insert(pathOf(e));
     }
-    std::set<std::string> gone;
-    std::uint64_t left = agreed_.options.maxDelete.value_or(UINT64_MAX), over = 0;
     const auto skip = target_.path.empty() ? 0 : target_.path.size() + 1;
-    for (const auto& v : agreed_.store->catalogue().below(agreed_.volume->name, target_.path)) {
-        const auto slash = v->path.rfind('/');
-        const auto parent = slash == v->path.npos ? "" : v->path.substr(0, slash);
-        if (named.count(v->path) || (!content.count(parent) && !gone.count(parent))) continue;
-        if (inBackups(v->path)) continue;
-        if (filter_.excluded(std::string_view(v->path).substr(skip), v->kind == Kind::Directory)) continue;
-        if (v->kind == Kind::Directory) gone.insert(v->path);
+    const auto shown = agreed_.store->catalogue().below(agreed_.volume->name, target_.path);
+    std::vector<Lying> lying;
+    for (const auto& v : shown) lying.push_back({v->path, v->kind == Kind::Directory});
+    const auto mayGo = [&](const Lying& one) {
+        return !inBackups(one.path) &&
+               !filter_.excluded(std::string_view(one.path).substr(skip), one.directory);
+    };
+    const auto leavesBackup = [&](const Lying& one) {
+        return agreed_.options.backup && backupDir_.empty() && !isBackup(one.path);
+    };
+    const auto found = deletions(lying, named, content, mayGo, leavesBackup, agreed_.options.maxDelete);
+    for (const auto i : found.go) {
+        const auto& v = shown[i];
         auto chore = std::make_shared<Chore>();
         chore->version.path = v->path;
         chore->version.kind = Kind::Gone;
@@ -368,15 +379,11 @@
         chore->version.mtime = g_get_real_time() / 1000000;
         chore->removed = v->path.substr(skip);
         if (v->kind == Kind::Directory) chore->removed += '\0';  // how the client knows a directory
-        if (left == 0) {
-            ++over;
-            continue;
-        }
-        --left;
         ++(v->kind == Kind::Directory ? deletedDirectories_ : deleted_);
         if (!isBackup(v->path)) keepBackup(v, v->path);
         chores_.push_back(std::move(chore));
     }
+    const auto over = found.skipped;
     if (over == 0) return;
     channel_.message(Message::Warning,
                      "Deletions stopped due to --max-delete limit (" + std::to_string(over) + " skipped)\n");
@@ -669,6 +676,11 @@
         f->fault = "its content did not match its checksum, twice";
     }
     if (!f->fault.empty()) return tell(f->version.path, f->fault);
+    // -c by a checksum that is not stored: only now is it known that nothing has changed.
+    const auto shown = agreed_.store->catalogue().find(agreed_.volume->name, f->version.path);
+    if (agreed_.options.checksum && shown && shown->kind == Kind::File && shown->size == f->size &&
+        shown->digest == f->version.digest)
+        return sameAsShown(f->index, shown);
     if (agreed_.options.delayUpdates) delayed_.push_back({f->index, f->version, std::move(f->pieces)});
     else commit({f->index, f->version, std::move(f->pieces)}, std::move(f->piece), f);
 }
--- a/src/fronts/rsync/receiving.hpp
+++ b/src/fronts/rsync/receiving.hpp
@@ -10,6 +10,7 @@
 
 #include "fronts/rsync/basis.hpp"
 #include "fronts/rsync/context.hpp"
+#include "fronts/rsync/decide_deletions.hpp"
 #include "fronts/rsync/decide_wanted.hpp"
 #include "fronts/rsync/incoming.hpp"
 #include "fronts/rsync/listing.hpp"
@@ -67,6 +68,7 @@
     void keepBackup(const catalogue::Shown& shown, const std::string& path);
     bool inBackups(const std::string& path) const;
     bool isBackup(const std::string& path) const;
+    void sameAsShown(std::int32_t index, const catalogue::Shown& shown);
     void succeeded(std::int32_t index);
     bool chores();
     void runChore(std::shared_ptr<Chore> chore);
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -10,6 +10,7 @@
 #include "catalogue/decide_winner.hpp"
 #include "config/settings.hpp"
 #include "fronts/decide_pace.hpp"
+#include "fronts/rsync/decide_deletions.hpp"
 #include "host/decide_request.hpp"
 #include "host/memory.hpp"
 #include "host/reminders.hpp"
@@ -127,6 +128,29 @@
     EXPECT_TRUE(line.empty());
 }
 
+// A directory stays while something in it stays: counted against --max-delete it would end the client
+// with 25.
+TEST(Deletions, DirectoriesGoLastAndOnlyWhereNothingIsLeftInThem) {
+    using fronts::rsync::Lying;
+    const std::vector<Lying> lying = {{"a", true},    {"a/keep", false}, {"a/x", false},   {"b", true},
+                                      {"b/y", false}, {"c", true},       {"named", false}, {"out/z", false}};
+    const auto mayGo = [](const Lying& one) { return one.path != "a/keep"; };
+    const auto none = [](const Lying&) { return false; };
+    const auto names = [&](const fronts::rsync::Deletions& d) {
+        std::string out;
+        for (const auto i : d.go) out += lying[i].path + " ";
+        return out;
+    };
+    const auto all = fronts::rsync::deletions(lying, {"named"}, {""}, mayGo, none, {});
+    EXPECT_EQ(names(all), "c b/y b a/x ");
+    const auto some = fronts::rsync::deletions(lying, {"named"}, {""}, mayGo, none, 3);
+    EXPECT_EQ(names(some), "c b/y b ");
+    EXPECT_EQ(some.skipped, 1u);
+    const auto kept = fronts::rsync::deletions(lying, {"named"}, {""}, mayGo,
+                                               [](const Lying& one) { return one.path == "b/y"; }, {});
+    EXPECT_EQ(names(kept), "c b/y a/x ");
+}
+
 TEST(RequestShape, ClassBySizeOfFileUnitsByWhatMoves) {
     host::RequestRules r;
     r.readClass = "view", r.largeReadClass = "export", r.writeClass = "upload";
--- a/tests/wire/rsync_test.cpp
+++ b/tests/wire/rsync_test.cpp
@@ -234,8 +234,9 @@
     EXPECT_EQ(p.error, "option -X (extended attributes are not kept: leave it out)");
     EXPECT_TRUE(p.options.compress && p.options.remove && p.options.times && p.options.can('v'));
     EXPECT_EQ(p.options.paths, std::vector<std::string>{"maps/"});
-    EXPECT_EQ(parseOptions({"--server", "--append", ".", "x"}).error,
-              "option --append (files are replaced whole here: leave it out, a changed file goes as a delta)");
+    EXPECT_EQ(
+        parseOptions({"--server", "--append", ".", "x"}).error,
+        "option --append (files are replaced whole here: leave it out, a changed file goes as a delta)");
     EXPECT_NE(parseOptions({"-r", "x"}).error, "");
     EXPECT_EQ(choose({"md5", "sha256"}, {"sha256", "md5"}), "md5");
     EXPECT_FALSE(parseGreeting("SSH-2.0"));
