A client that ends with an error is let go; a limited volume's window follows the aim

Cause: a client that refuses what it was sent says so (error exit) and waits for the server's end, which came only with the idle time-out. And of more than the limit lets out within the aim, the module serves the younger first, so that the oldest waited in vain for their deadline and were refused.

Change: the error exit ends the session at once. The pace of a limited volume starts at the host's part of what the limit lets out within the shortest aim and grows to the whole of it.

--- a/kit/matrix.cpp
+++ b/kit/matrix.cpp
@@ -229,6 +229,12 @@
          const bool other = has(m, "--cc") && !has(m, "--cc=xxh128");
          return !m.push && letter(m, 'c') && other && has(m, "--protocol=30");
      }},
+    {"what lies below an excluded directory is left out though it was named: the client refuses such a "
+     "directory "
+     "from any server",
+     0, "all", [](const Mix& m) { return !m.push && ruled(m) && (m.filesFrom || !m.relative.empty()); }},
+    {"and so they do not count against --max-delete", 0, "all",
+     [](const Mix& m) { return m.push && has(m, "--max-delete") && has(m, "--backup-dir"); }},
     {"which files go before --max-delete is reached, each side orders in its own way", 25, "extra",
      [](const Mix& m) { return m.push && has(m, "--max-delete"); }},
     {"backups of an upload are no part of what --delete looks at (the stock client moves them into "
@@ -376,7 +382,7 @@
     for (const auto& intent : kIntents) {
         if (!intent.is(mix) || run.status != intent.status) continue;
         byTable = true;
-        if (intent.apart.empty()) return "";
+        if (intent.apart.empty() || intent.apart == "all") return "";
         apart = intent.apart;
     }
     std::string out;
--- a/src/fronts/decide_pace.hpp
+++ b/src/fronts/decide_pace.hpp
@@ -4,8 +4,9 @@
 // A refusal says that nothing was done and that trying again is harmless. Asking again at once would only be
 // refused again, and the client that hears of it ends with files missing, where a person expects it to slow
 // down. So what a volume has out at one host, in units, stays under a window:
-//  - with a limit it starts at the host's even part of what the limit lets out in half of the shortest
-//    deadline, so that a request that is let out now is served before its time is up;
+//  - with a limit it starts at the host's even part of what the limit lets out within the shortest aim, and
+//    grows to the whole of that, for the volume may work through this host alone. The module serves what can
+//    still meet its aim first: of more than that, the oldest would be overtaken until their time is up;
 //  - it grows by one largest request for each window served, and is cut in half by a refusal, where those
 //    that were out together count as one sign;
 //  - without a limit there is none until the first refusal.
@@ -24,16 +25,16 @@
 class Pace {
   public:
     struct Figures {
-        double limit = 0;          // units a second over all hosts; 0: none
-        int hosts = 1;             // through which the volume works
-        double topUnits = 1;       // of one request
-        double deadlineMs = 1000;  // the shortest of the classes in use
+        double limit = 0;                       // units a second over all hosts; 0: none
+        int hosts = 1;                          // through which the volume works
+        double topUnits = 1;                    // of one request
+        double aimMs = 500, deadlineMs = 1000;  // the shortest of the classes in use
     };
     explicit Pace(const Figures& f) : f_(f), window_(kNone) {
         if (f.limit <= 0) return;
-        const double fits = f.limit * f.deadlineMs / 1000;
-        window_ = std::max(f.topUnits, fits * kStartPart / std::max(1, f.hosts));
-        most_ = std::max(f.topUnits, fits * kMostPart);
+        const double fits = f.limit * f.aimMs / 1000;
+        window_ = std::max(kLeastRequests * f.topUnits, fits / std::max(1, f.hosts));
+        most_ = std::max(window_, fits);
     }
     // Whether a request may go out now. dueMs() tells from when on one may where only time is missing.
     bool may(double units, double nowMs) const {
@@ -78,8 +79,8 @@
     double out() const { return out_; }
 
   private:
-    static constexpr double kNone = 1e18, kNever = -1e18, kStartPart = 0.5, kMostPart = 0.8,
-                            kLeastHoldMs = 50, kMostHoldMs = 2000, kForgetMs = 10000, kHopeless = 2;
+    static constexpr double kNone = 1e18, kNever = -1e18, kLeastRequests = 2, kLeastHoldMs = 50,
+                            kMostHoldMs = 2000, kForgetMs = 10000, kHopeless = 2;
     Figures f_;
     double window_, most_ = kNone, out_ = 0, resumeMs_ = 0, cutMs_ = kNever, servedMs_ = kNever;
     unsigned inRow_ = 0;                // refusals since something was served
--- a/src/fronts/patience.cpp
+++ b/src/fronts/patience.cpp
@@ -129,11 +129,11 @@
     f.topUnits = settings_.module.topUnits;
     for (const auto& p : settings_.module.plans)
         if (p.name == volume.plan) f.limit = p.limit;
-    f.deadlineMs = 3.6e6;
+    f.aimMs = f.deadlineMs = 3.6e6;
     for (const auto& c : settings_.module.classes)
         if (c.name == settings_.readClass || c.name == settings_.largeReadClass ||
             c.name == settings_.writeClass)
-            f.deadlineMs = std::min(f.deadlineMs, c.deadlineMs);
+            f.aimMs = std::min(f.aimMs, c.aimMs), f.deadlineMs = std::min(f.deadlineMs, c.deadlineMs);
     return gates_.emplace(volume.name, f).first->second;
 }
 
--- a/src/fronts/rsync/session.cpp
+++ b/src/fronts/rsync/session.cpp
@@ -186,7 +186,14 @@
         case State::Agree:
             return readAgreement();
         case State::Stream: {
-            for (const auto& m : channel_->takeBeside()) half_->beside(m);
+            for (const auto& m : channel_->takeBeside()) {
+                // The client ends with an error and waits for this side to end, too.
+                if (m.kind == Message::ErrorExit) {
+                    context_.note("client_gave_up", name_, "");
+                    return close(), false;
+                }
+                half_->beside(m);
+            }
             if (half_->advance()) {
                 checkWait();
                 return false;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -134,6 +134,25 @@
     EXPECT_NE(r.output.find("auth failed"), std::string::npos) << r.output;
 }
 
+// A client that refuses what it was sent waits for the server's end; it must come at once, not by a time-out.
+TEST_F(Gateway, ClientThatEndsWithAnErrorIsLetGo) {
+    nodes(1);
+    fleet_->startHost(0);
+    make("x", 5000);
+    ASSERT_EQ(push(0).status, 0);
+    Socket s(fleet_->rsyncPort(0));
+    s.readLine();
+    s.send("@RSYNCD: 31.0 md5\nmaps\n");
+    EXPECT_EQ(s.readLine(), "@RSYNCD: OK");
+    std::string bytes = "--server\0--sender\0-re.f\0.\0maps/\0\0"s;
+    wire::rsync::putFrame(bytes, wire::rsync::Message::Data, "\0\0\0\0"s);  // no rules
+    wire::rsync::putFrame(bytes, wire::rsync::Message::ErrorExit, "\4\0\0\0"s);
+    s.send(bytes);
+    s.readAll();  // ends
+    EXPECT_TRUE(
+        waitUntil(3, [&] { return readFile(fleet_->logOf(0)).find("client_gave_up") != std::string::npos; }));
+}
+
 // From one address, silent or saying half of what they should; a client from another still lists and loads,
 // while ever more of them come.
 TEST_F(Gateway, ThousandsOfHalfSpeakingConnectionsLockNobodyOut) {
