Item flags and the cutting of fields stand once

Cause: both halves of an rsync session named the same flags, and the catalogue and the feed each had the same cut(). Change: the flags lie in context.hpp, cut() in catalogue/fields.hpp; behaviour is the same.

--- a/src/catalogue/file_version.cpp
+++ b/src/catalogue/file_version.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstdio>
 
+#include "catalogue/fields.hpp"
 #include "wire/http/message.hpp"
 
 namespace spokewheel::catalogue {
@@ -27,13 +28,6 @@
                   static_cast<unsigned long long>(h.low64));
     return out;
 }
-// The next part of `text` up to `by`, taken off it.
-std::string_view cut(std::string_view& text, char by) {
-    const auto at = std::min(text.find(by), text.size());
-    const auto part = text.substr(0, at);
-    text.remove_prefix(std::min(at + 1, text.size()));
-    return part;
-}
 
 }  // namespace
 
--- a/src/fronts/rsync/context.hpp
+++ b/src/fronts/rsync/context.hpp
@@ -31,6 +31,10 @@
     std::size_t moving = 0;  // sessions that move data, for the parts of memory
 };
 
+// What stands beside a file's index in requests and answers.
+constexpr std::uint16_t kTransfer = 1 << 15, kIsNew = 1 << 13, kLocalChange = 1 << 14,
+                        kBasisFollows = 1 << 11, kNameFollows = 1 << 12;
+
 // About what an entry of a file list costs while a session holds it.
 constexpr std::uint64_t kListEntryBytes = 200;
 
--- a/src/fronts/rsync/receiving.cpp
+++ b/src/fronts/rsync/receiving.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-constexpr std::uint16_t kTransfer = 1 << 15, kIsNew = 1 << 13, kLocalChange = 1 << 14,
-                        kBasisFollows = 1 << 11, kNameFollows = 1 << 12;
 constexpr std::uint64_t kLeastForDelta = 16 * 1024;
 constexpr std::uint32_t kDeleteLimit = 1 << 2;  // of the error bits a client ends by (exit 25)
 constexpr std::size_t kLeastLease = 4096, kListStep = 1000;
--- a/src/fronts/rsync/sending.cpp
+++ b/src/fronts/rsync/sending.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::uint16_t kTransfer = 1 << 15, kBasisFollows = 1 << 11, kNameFollows = 1 << 12;
 constexpr std::int32_t kMostBlocks = 1 << 18;  // of a file of 32 GiB in the largest blocks
 constexpr std::size_t kMostSums = 8 << 20;     // bytes of block sums that wait in one session
 constexpr std::size_t kMostNames = 1000000, kMostNameBytes = 32 << 20;
--- a/src/nodes/feed.cpp
+++ b/src/nodes/feed.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <utility>
 
+#include "catalogue/fields.hpp"
 #include "catalogue/file_version.hpp"
 
 namespace spokewheel::nodes {
@@ -13,12 +14,6 @@
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     return !text.empty() && error == std::errc() && end == text.data() + text.size();
 }
-std::string_view cut(std::string_view& text, char by) {
-    const auto at = std::min(text.find(by), text.size());
-    const auto part = text.substr(0, at);
-    text.remove_prefix(std::min(at + 1, text.size()));
-    return part;
-}
 
 }  // namespace
 
@@ -97,12 +92,12 @@
 // and checked before any of it counts.
 bool Feed::apply(Follow& f, const std::string& body, bool& anew) {
     std::string_view text = body;
-    auto head = cut(text, '\n');
+    auto head = catalogue::cut(text, '\n');
     std::uint64_t upTo = 0;
     int more = 0;
-    if (cut(head, ' ') != "epoch") return false;
-    const std::string epoch(cut(head, ' '));
-    if (epoch.empty() || !number(cut(head, ' '), upTo) || !number(head, more)) return false;
+    if (catalogue::cut(head, ' ') != "epoch") return false;
+    const std::string epoch(catalogue::cut(head, ' '));
+    if (epoch.empty() || !number(catalogue::cut(head, ' '), upTo) || !number(head, more)) return false;
     if (epoch != f.epoch) {
         anew = !f.epoch.empty();
         f.epoch = epoch;
@@ -112,10 +107,10 @@
     }
     std::vector<std::pair<std::string, catalogue::FileVersion>> found;
     while (!text.empty()) {
-        auto line = cut(text, '\n');
+        auto line = catalogue::cut(text, '\n');
         std::uint64_t sequence = 0;
-        if (!number(cut(line, ' '), sequence)) return false;
-        const std::string volume(cut(line, ' ')), id(cut(line, ' '));
+        if (!number(catalogue::cut(line, ' '), sequence)) return false;
+        const std::string volume(catalogue::cut(line, ' ')), id(catalogue::cut(line, ' '));
         auto version = catalogue::decode(line);
         if (!version) continue;  // an object of somebody else's, or of a later form
         version->id = id;
