A test that a refused request at the limit is made anew; shown as a guard

Need: with the making anew taken out of Patience no test failed, neither parts nor through sockets. Change: Patience.ARefusedRequestOfALimitedVolumeIsMadeAnewUntilItIsServed drives it over a store that refuses thrice. Measured: it fails with the guard out (the caller hears the refusal) and passes with it in; 50 part tests pass.

--- a/tests/gateway/session_model_test.cpp
+++ b/tests/gateway/session_model_test.cpp
@@ -33,6 +33,7 @@
     std::map<std::string, std::string> objects;
     std::map<std::string, std::function<void(bool fine)>> open;
     std::uint64_t next = 0;
+    bool refuses = false;
     std::string add(std::function<void(bool)> f) {
         const auto id = "r" + std::to_string(++next);
         open[id] = std::move(f);
@@ -44,7 +45,7 @@
             ReadResult r;
             r.fine = fine && objects.count(object);
             if (r.fine) r.body = objects.at(object);
-            else r.words = "failed by the model";
+            else r.words = "failed by the model", r.refused = refuses;
             done(std::move(r));
         });
     }
@@ -482,5 +483,41 @@
     }
 }
 
+// At a volume's limit a refusal is not the caller's to hear: the request is made anew until it is served.
+TEST(Patience, ARefusedRequestOfALimitedVolumeIsMadeAnewUntilItIsServed) {
+    ModelStore inner;
+    inner.objects["o/x"] = "content";
+    inner.refuses = true;
+    config::DaemonSettings settings;
+    settings.module.plans = {Plan()};
+    settings.module.plans[0].name = "limited";
+    settings.module.plans[0].limit = 100;
+    config::VolumeSettings volume;
+    volume.name = "maps", volume.plan = "limited";
+    double clock = 0;
+    std::weak_ptr<std::function<void()>> alarm;
+    Patience patience(
+        inner, settings, [&] { return clock; },
+        [&](double ms, std::function<void()> then) {
+            auto held = std::make_shared<std::function<void()>>([&clock, ms, then] { clock += ms, then(); });
+            alarm = held;
+            return std::shared_ptr<void>(held);
+        });
+    const auto store = patience.open({60000, 0});
+    int told = 0;
+    bool fine = false;
+    store->read(volume, 0, "o/x", 7, 7, "", [&](ReadResult r) { ++told, fine = r.fine; });
+    for (int i = 0; i < 4; ++i) {
+        ASSERT_EQ(inner.open.size(), 1u) << "round " << i;
+        const auto answer = std::move(inner.open.begin()->second);
+        inner.open.clear();
+        answer(i == 3);
+        EXPECT_EQ(told, i == 3);
+        if (const auto a = alarm.lock()) (*a)();
+    }
+    EXPECT_TRUE(fine);
+    EXPECT_EQ(patience.counters().anew, 3u);
+}
+
 }  // namespace
 }  // namespace spokewheel::fronts::rsync
