A node counts as ready from before the list is written: a host may be quicker than the kit

Cause: BadDay.EveryRuleIsKept failed once on a loaded machine (rule 3, a request 3,749 ms after its node was told to be draining). The kit wrote the list first and took the time of it afterwards; a host that acted upon the list before that thread ran again was held to the older, draining state. With 100 ms put between the two the same breach came 3 times of 3.

Change: a node counts as ready from before the list is written (or from before the registry's fault is cleared, where that already shows it) and as leaving from after it.

--- a/kit/bad_day.cpp
+++ b/kit/bad_day.cpp
@@ -166,20 +166,24 @@
         const auto more = steps + random_() % (steps / 4 + 1);
         waitUntil(15, [&] { return steps_ >= from + more; });
     }
-    void list(const std::map<int, std::string>& states) {
-        fleet_.writeList(states);
+    // A host may act upon a list before this thread runs again. A node therefore counts as ready from before
+    // the list is written (`fromUs`, where something before that already lets it be seen), as leaving from
+    // after it: neither says that a host knew what it could not.
+    void relist(std::int64_t fromUs = monotonicUs()) {
+        fleet_.writeList(states_);
+        const auto writtenUs = monotonicUs();
         for (int n = 0; n < s_.script.nodes; ++n) {
-            const auto s = states.find(n);
+            const auto s = states_.find(n);
+            const bool ready = s == states_.end();
             Record r;
             r.kind = Record::Kind::Listed;
             // Told when it left the registry, which may be later than it was written there.
-            r.us = monotonicUs() + static_cast<std::int64_t>(1000 * behindMs_);
+            r.us = (ready ? fromUs : writtenUs) + static_cast<std::int64_t>(1000 * behindMs_);
             r.node = fleet_.nodeAddress(n);
-            r.words = s == states.end() ? "ready" : s->second;
+            r.words = ready ? "ready" : s->second;
             note(r);
         }
     }
-    void relist() { list(states_); }
     void script(int round) {
         Casting casting(s_.script, s_.seed + static_cast<std::uint64_t>(round));
         for (const auto& step : s_.script.steps) {
@@ -259,11 +263,13 @@
                 behindMs_ = step.by;
                 fleet_.controlRegistry("/faults?behind-ms=" + std::to_string(step.by));
                 break;
-            case Deed::ListUp:
+            case Deed::ListUp: {
+                const auto fromUs = monotonicUs();
                 behindMs_ = 0;
                 fleet_.controlRegistry("/clear");
-                relist();
+                relist(fromUs);
                 break;
+            }
         }
     }
     void calm() {
