What idles of a limited volume at hosts without work is lent to the host that has it

Cause: one client alone on a limited volume of three hosts (60 units/s) waited 4.09 to 4.79 times the fair time. Traced: each host owns a third of the store, lends only what its lent half holds (1.25 units a subperiod here), and a host that had no request for the volume did not know it at all, so it lent nothing.

Change: a volume that all hosts share is introduced to all by a message of its own once one is short of credit, and again after 30 s; a host without a request for 8 s lends of its own half too, keeps one largest request, and keeps free in that half what is out of it; what the lent half can't hold fills the own one. A volume is remembered while a sharer is heard. The noise test of peer messages used a kind that no longer exists and so tested nothing; it now covers reports and introductions.

Guards, by removal: keeping free what is lent (Split.WhatIsLentOfAHalfIsNotThereTwice); the kept largest request, taking off what is lent, introducing, introducing again (each Split.AHostAloneWithWorkIsLentWhatIdlesAtTheOthers).

--- a/src/policy/peer_messages.cpp
+++ b/src/policy/peer_messages.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t kMost = 256;  // bytes of a message, by the wire
-constexpr unsigned char kReport = 2, kNotes = 3;
+constexpr unsigned char kReport = 2, kNotes = 3, kWords = 4;
 constexpr double kStepMs = 8, kAgeStepMs = 100, kParts = 15, kTenths = 10;  // units of the coding
 constexpr std::uint64_t kLargest = 10000000;  // of any figure but a volume's number
 
@@ -103,6 +103,13 @@
     return join(head.bytes, entries);
 }
 
+std::vector<std::string> pack(const std::vector<Introduction>& words) {
+    std::vector<std::string> entries;
+    for (const auto& w : words)
+        entries.push_back(Writer().whole(static_cast<std::uint64_t>(w.volume)).whole(w.plan).bytes);
+    return entries.empty() ? entries : join(Writer(kWords).bytes, entries);
+}
+
 std::vector<std::string> pack(const std::vector<Note>& notes) {
     std::vector<std::string> entries;
     for (const auto& n : notes) entries.push_back(pack(n));
@@ -128,6 +135,22 @@
     return report;
 }
 
+std::optional<std::vector<Introduction>> readIntroductions(const std::string& bytes,
+                                                           const Settings& settings) {
+    Reader in(bytes);
+    if (bytes.size() > kMost || in.byte() != kWords) return std::nullopt;
+    std::vector<Introduction> words;
+    while (in.more()) {
+        Introduction w;
+        w.volume = static_cast<std::int64_t>(in.whole());
+        w.plan = in.whole();
+        if (w.plan >= settings.plans.size()) return std::nullopt;
+        words.push_back(w);
+    }
+    if (!in.good) return std::nullopt;
+    return words;
+}
+
 std::optional<std::vector<Note>> readNotes(const std::string& bytes, const Settings& settings) {
     Reader in(bytes);
     if (bytes.size() > kMost || in.byte() != kNotes) return std::nullopt;
--- a/src/policy/peer_messages.hpp
+++ b/src/policy/peer_messages.hpp
@@ -23,6 +23,13 @@
     std::vector<CreditFigures> figures;
 };
 
+// That a volume is shared by all hosts, which a host that had no request for it can't know; `plan` is its
+// place in the settings' list. A message of its own: a host of an older build drops it and reads the rest.
+struct Introduction {
+    std::int64_t volume = 0;
+    std::size_t plan = 0;
+};
+
 // Between a host and the keeper of a node; `kind` and `plan` are places in the settings' lists.
 enum class NoteKind { Ask = 1, Grant, Ack, Done, Heat };
 struct Note {
@@ -39,8 +46,11 @@
 };
 
 std::vector<std::string> pack(const Report& report);
+std::vector<std::string> pack(const std::vector<Introduction>& words);
 std::vector<std::string> pack(const std::vector<Note>& notes);
 std::optional<Report> readReport(const std::string& bytes);
+std::optional<std::vector<Introduction>> readIntroductions(const std::string& bytes,
+                                                           const Settings& settings);
 // Nothing where a figure is outside what the settings allow.
 std::optional<std::vector<Note>> readNotes(const std::string& bytes, const Settings& settings);
 
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -28,7 +28,9 @@
 constexpr double kListAnswerMs = 4000, kListAgainMs = 700, kListJitter = 1.5;  // of asking for the list
 constexpr double kLendMost = 2;  // times what a host used and holds is lent to it by all together, at most
 constexpr double kForgetMs = 30000;  // idle volumes and unheard peers are dropped; parts are full by then
-constexpr double kStartPart = 0.25;  // of a guard part: kept back in running, held at a (re)start
+constexpr double kAsleepMs = 8000;   // without a request a host lends of its own half too
+constexpr std::size_t kGuestsMost = 4096;  // volumes known, beyond which one from a peer's word is not taken
+constexpr double kStartPart = 0.25;        // of a guard part: kept back in running, held at a (re)start
 // Nodes kept by one host for all: the shares of a cold node's budget that its keeper and two stand-ins have.
 constexpr std::array<double, 3> kKeeperParts = {0.7, 0.2, 0.1};
 constexpr double kAskWaitMs = 100, kAskWaitLeastMs = 30, kAskWaitMostMs = 200;  // until a keeper is deaf
@@ -115,12 +117,17 @@
         v.filledAt = now_;
         v.level = std::min(v.plan->limitBurst, v.level + rate);
         // What an idle host's own half can't hold goes to the half that is lent.
-        const double over = std::max(0.0, v.even + rate / b - v.plan->limitBurst / b);
+        while (!v.lent.empty() && v.lent.front().first <= now_) v.lent.pop_front();
+        double own = v.plan->limitBurst / b;  // what the half may hold: less what is lent of it
+        for (const auto& l : v.lent) own -= l.second;
+        const double over = std::max(0.0, v.even + rate / b - std::max(0.0, own));
         v.even += rate / b - over;
         // What is lent may be spent a subperiod later while this part fills again: leave that room.
         const double room = v.hosts > 1 ? 1.5 * kSubMs / 1000 * v.plan->limit / b : 0;
         const double most = std::max(0.0, (1 - 2 * kStartPart) * v.plan->limitBurst / b - room);
-        v.lend = std::min(most, v.lend + rate / b + over);
+        const double spill = std::max(0.0, v.lend + rate / b + over - most);
+        v.lend += rate / b + over - spill;
+        v.even += std::min(spill, std::max(0.0, own - v.even));
         while (!v.gifts.empty() && v.gifts.front().first <= now_) v.gifts.pop_front();
     }
     bool mayDraw(Volume& v, double units) {
@@ -251,17 +258,7 @@
         if (byId_.count(request.id)) return;
         if (!kind || !plan) return refuse(request.id);
         auto& v = volumes_[request.volume];
-        if (!v.plan) {
-            v.plan = plan;
-            v.filledAt = startedAt_;
-            v.hosts = std::max(1, request.hosts);
-            if (v.limited()) {
-                v.level = v.plan->limitBurst;
-                v.even = (kStartPart * v.plan->limitBurst + v.plan->slack) / v.hosts;
-                refill(v);
-                split(v);
-            }
-        }
+        if (!v.plan) begin(v, *plan, request.hosts);
         v.hosts = std::max(1, request.hosts);
         v.usedAt = now_;
         ++v.users;
@@ -275,6 +272,29 @@
         if (q.ordered()) keys_[request.key].turn.push_back(&q);
         noteDue(v, request.units);
     }
+    void begin(Volume& v, const Plan& plan, int hosts) {
+        v.plan = &plan;
+        v.filledAt = startedAt_;
+        v.hosts = std::max(1, hosts);
+        if (!v.limited()) return;
+        v.level = plan.limitBurst;
+        v.even = (kStartPart * plan.limitBurst + plan.slack) / v.hosts;
+        refill(v);
+        split(v);
+    }
+    // All hosts share this volume, and one of them is short of credit: this one takes part before it has a
+    // request of its own, so that what idles here can be lent.
+    void join(int from, const Introduction& word) {
+        const auto found = volumes_.find(word.volume);
+        const auto& plan = set_.plans[word.plan];
+        if (plan.limit <= 0 || (found == volumes_.end() && volumes_.size() >= kGuestsMost)) return;
+        auto& v = volumes_[word.volume];
+        if (!v.plan) {
+            v.usedAt = -1e18;
+            begin(v, plan, set_.hosts);
+        }
+        if (v.limited() && v.hosts == set_.hosts) v.peers[from].heardAt = now_;
+    }
     void unhold(Held& q) { (q.owner < 0 ? held_ : asks_[q.goal]).erase(q.seq); }
     Held& admit(const Request& request, const RequestClass& kind, const Plan& plan, double aimLeft) {
         pool_.emplace_back();
@@ -732,6 +752,7 @@
     void report() {
         if (!set_.mayTellPeers || set_.hosts == 1) return;
         std::map<int, Report> reports;
+        std::vector<Introduction> words;
         for (auto& [id, v] : volumes_) {
             if (!v.limited() || v.hosts < 2) continue;
             const double mine = v.held + v.rLast;
@@ -741,21 +762,34 @@
             CreditFigures mineNow{id, v.rLast, v.held, v.total, 0};
             const bool changed = mine > 0 || v.busy;
             v.busy = mine > 0;
-            const bool announce = v.announcedAt > now_ && v.starved;
-            if (announce) reports[-1].figures.push_back(mineNow);
-            if (announce) v.announcedAt = now_;
-            const double lend = v.lend;
+            // Where all share it, told again now and then: a restarted host has forgotten it.
+            const bool everywhere = v.hosts == set_.hosts;
+            const double since = now_ - v.announcedAt;
+            const bool announce = v.starved && (since < 0 || (everywhere && since > kForgetMs));
+            if (announce) {
+                reports[-1].figures.push_back(mineNow);
+                if (everywhere) words.push_back({id, static_cast<std::size_t>(v.plan - set_.plans.data())});
+                v.announcedAt = now_;
+                v.starved = false;
+            }
+            // One without work for long lends of its own half too, and keeps what a first request needs.
+            const bool asleep = v.users == 0 && now_ > v.usedAt + kAsleepMs;
+            const double half = asleep ? std::max(0.0, v.even - set_.topUnits) : 0, lend = v.lend + half;
             for (auto& [rank, view] : v.peers) {
                 const double w = view.sub + 1 >= sub_ ? view.r + view.held : 0;
                 const double need = kLendMost * w / (v.hosts - 1);
                 const double gift = w > 0 ? std::floor(10 * std::min(need, lend * w / sum)) / 10 : 0;
                 if ((announce || !changed) && !view.greet && gift <= 0) continue;
                 view.greet = false;
-                v.lend -= gift;
+                const double ofHalf = std::max(0.0, gift - v.lend);
+                v.lend -= gift - ofHalf;
+                v.even -= ofHalf;
+                if (ofHalf > 0) v.lent.push_back({now_ + 2 * kSubMs, ofHalf});
                 mineNow.gift = gift;
                 reports[rank].figures.push_back(mineNow);
             }
         }
+        for (const auto& bytes : pack(words)) out_.emplace_back(TellPeers{-1, bytes});
         for (auto& [rank, r] : reports) {
             r.incarnation = incarnation_;
             r.subperiod = sub_;
@@ -767,6 +801,8 @@
         if (message.from < 0 || message.from >= set_.hosts || message.from == set_.rank) return;
         if (const auto notes = shared_ ? readNotes(message.bytes, set_) : std::nullopt)
             onNotes(message.from, *notes);
+        if (const auto words = readIntroductions(message.bytes, set_))
+            for (const auto& word : *words) join(message.from, word);
         const auto report = readReport(message.bytes);
         if (!report || report->subperiod > sub_ + 2) return;
         const auto [incarnation, sub, figures] = *report;
@@ -808,8 +844,8 @@
             const double full = v.limited() ? 2000 * v.plan->limitBurst / v.plan->limit : 0;
             for (auto p = v.peers.begin(); p != v.peers.end();)
                 p = now_ > p->second.heardAt + kForgetMs ? v.peers.erase(p) : std::next(p);
-            it = v.users == 0 && now_ > v.usedAt + std::max(kForgetMs, full) ? volumes_.erase(it)
-                                                                             : std::next(it);
+            const bool idle = v.users == 0 && v.peers.empty() && now_ > v.usedAt + std::max(kForgetMs, full);
+            it = idle ? volumes_.erase(it) : std::next(it);
         }
         for (auto it = keys_.begin(); it != keys_.end();)
             it = it->second.turn.empty() && it->second.restUntil <= now_ ? keys_.erase(it) : std::next(it);
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -66,7 +66,7 @@
     int users = 0;
     double total = 0, usedAt = 0, announcedAt = 1e18;
     double even = 0, lend = 0;
-    std::deque<std::pair<double, double>> gifts;  // expiry, units
+    std::deque<std::pair<double, double>> gifts, lent;  // expiry, units; lent: of the own half
     std::map<int, PeerView> peers;
     std::deque<Second> seconds;
     double reserveStore = 0, reserveAt = 0, beyondAt = -1e18, fairStore = 0, fairAt = 0;
--- a/tests/module/limit_test.cpp
+++ b/tests/module/limit_test.cpp
@@ -2,7 +2,9 @@
 
 #include <memory>
 #include <random>
+#include <utility>
 
+#include "policy/peer_messages.hpp"
 #include "support.hpp"
 
 namespace spokewheel::testing {
@@ -119,7 +121,7 @@
 // Guards against two volumes lending to each other: peers once told volumes apart by their last 20 bits, and
 // a day with 450 volumes passed a limit (incident i2408b2).
 TEST(Split, VolumesWhoseNumbersEndAlikeStayApart) {
-    Host a(many(2, 0), 1), b(many(2, 1), 2);
+    Host a(many(3, 0), 1), b(many(3, 1), 2);  // shared by two: joins no one unasked
     for (auto* h : {&a, &b}) h->step(kStart, {list(fleet())});
     std::vector<Event> mine = burst(0, 60, 2), others = burst(100, 60, 2);
     for (auto& e : mine) std::get<Request>(e).volume = 5;
@@ -143,6 +145,83 @@
     for (const auto& t : host.told) EXPECT_EQ(t.bytes[0], 3);  // notes on nodes, no report
 }
 
+// Three hosts, one with work: what the other two never use goes to it, though they have not heard of the
+// volume by a request; a host that has started anew, and knows nothing of it, is told again. One whose first
+// request comes meanwhile still sends it at once.
+TEST(Split, AHostAloneWithWorkIsLentWhatIdlesAtTheOthers) {
+    std::vector<std::unique_ptr<Host>> hosts;
+    const auto fresh = [](int rank) {
+        auto s = many(3, rank);
+        s.plans[1].limitBurst = 72;
+        return std::make_unique<Host>(s, static_cast<unsigned>(rank + 1));
+    };
+    for (int i = 0; i < 3; ++i) hosts.push_back(fresh(i));
+    for (auto& h : hosts) h->step(kStart, {list(fleet())});
+    std::size_t answered = 0;
+    int asked = 0;
+    const auto run = [&](double from, double to) {
+        const auto before = hosts[0]->sent.size();
+        for (double t = from; t < to; t += 10) {
+            if (hosts[0]->sent.size() + hosts[0]->refused.size() + 40 > static_cast<std::size_t>(asked))
+                hosts[0]->step(t, burst(std::exchange(asked, asked + 20), 20, 3));
+            for (; answered < hosts[0]->sent.size(); ++answered)
+                hosts[0]->verdict(t, hosts[0]->sent[answered], Outcome::Served);
+            for (auto& h : hosts) h->runTo(t);
+            for (std::size_t i = 0; i < 3; ++i) {
+                for (auto& m : std::exchange(hosts[i]->told, {}))
+                    for (std::size_t to = 0; to < 3; ++to)
+                        if (to != i && (m.to < 0 || m.to == static_cast<int>(to)))
+                            hosts[to]->step(t, {PeerMessage{static_cast<int>(i), m.bytes}});
+            }
+        }
+        return static_cast<double>(hosts[0]->sent.size() - before) / (to - from) * 1000;
+    };
+    run(kStart, kStart + 12000);
+    const double lent = run(kStart + 12000, kStart + 20000);
+    EXPECT_GT(lent, 0.8 * 20);  // the limit; its own part is a third of it
+    EXPECT_LE(lent, 20 + 1);
+    hosts[1]->step(kStart + 20000, {drawn("first", 3, 6)});
+    EXPECT_EQ(hosts[1]->sent.size(), 1u);
+    hosts[2] = fresh(2);
+    hosts[2]->step(kStart + 20000, {list(fleet())});
+    run(kStart + 20000, kStart + 64000);
+    EXPECT_GT(run(kStart + 64000, kStart + 70000), 0.8 * 20);
+}
+
+// A host that slept lends of its half; just before that expires it has more work than it can send itself. The
+// half has filled again by then, unless what is out of it is kept free: what it sends and what it lent, which
+// may both be spent, stay within the half (a limit this quick leaves it nothing else to lend).
+TEST(Split, WhatIsLentOfAHalfIsNotThereTwice) {
+    auto settings = many(2, 0);
+    auto& plan = settings.plans[1];
+    plan.limit = 1800, plan.limitBurst = 360, plan.slack = 1;
+    Host a(settings, 1);
+    settings.rank = 1;
+    Host b(settings, 2);
+    for (auto* h : {&a, &b}) h->step(kStart, {list(fleet())});
+    double gift = 0;
+    std::size_t answered = 0;
+    int asked = 0;
+    for (double t = kStart + 5; t < kStart + 4990; t += 5) {
+        if (a.sent.size() + a.refused.size() + 200 > static_cast<std::size_t>(asked))
+            a.step(t, burst(std::exchange(asked, asked + 40), 40, 2));
+        else a.step(t, {Wake{}});
+        for (; answered < a.sent.size(); ++answered) a.verdict(t, a.sent[answered], Outcome::Served);
+        b.step(t, {Wake{}});
+        for (auto& m : std::exchange(a.told, {})) b.step(t + 1, {PeerMessage{0, m.bytes}});
+        for (auto& m : std::exchange(b.told, {})) {
+            a.step(t + 1, {PeerMessage{1, m.bytes}});
+            const auto report = readReport(m.bytes);
+            if (report && !report->figures.empty()) gift = report->figures[0].gift;
+        }
+    }
+    const double part = plan.limitBurst / 2;
+    EXPECT_GT(gift, 0.2 * part);
+    b.step(kStart + 4990, burst(100000, 400, 2));
+    EXPECT_GE(b.sent.size(), settings.topUnits);
+    EXPECT_LE(static_cast<double>(b.sent.size()) + gift, part / 2);
+}
+
 // Guards against spending what was lent after its lender's part has filled again: word that comes 150 ms late
 // lends nothing. Should cover slow links and hosts that stall between writing and sending.
 TEST(Split, WhatIsLentInALateMessageIsDropped) {
@@ -217,11 +296,27 @@
     for (int i = 0; i < 3000; ++i) {  // noise of any kind does no harm
         std::string noise(random() % 64, '\0');
         for (auto& c : noise) c = static_cast<char>(random());
-        if (!noise.empty()) noise[0] = 1;
+        if (!noise.empty()) noise[0] = i % 2 ? 2 : 4;
         b.step(kStart + 4000 + i, {PeerMessage{0, noise}});
     }
 }
 
+// Word of a volume that all share counts whole and with a known plan, or not at all.
+TEST(PeerMessages, IntroductionsComeBackAndThoseOfUnknownPlansAreDropped) {
+    const auto settings = plainSettings();
+    const std::vector<Introduction> words = {{7, 1}, {std::int64_t{1} << 40, 0}};
+    const auto packed = pack(words);
+    ASSERT_EQ(packed.size(), 1u);
+    const auto read = readIntroductions(packed[0], settings);
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->size(), 2u);
+    EXPECT_EQ((*read)[1].volume, std::int64_t{1} << 40);
+    EXPECT_EQ((*read)[0].plan, 1u);
+    EXPECT_FALSE(readIntroductions(pack(std::vector<Introduction>{{7, 2}})[0], settings));
+    EXPECT_FALSE(readIntroductions(packed[0].substr(0, packed[0].size() - 1), settings));
+    EXPECT_TRUE(pack(std::vector<Introduction>{}).empty());
+}
+
 struct Mail {
     double at;
     int from, to;
@@ -232,6 +327,7 @@
     int hosts = 3;
     double loss = 0, lateShare = 0, perHostMs = 0.06;
     bool restarts = false;
+    bool alone = false;  // one host at a time has work, the others none at all
 };
 
 // Adds up what all hosts first-send for one volume under loss, delay, repeats, restarts (now and then of half
@@ -256,8 +352,8 @@
     std::map<std::string, double> units;
     double store = plan.limitBurst, filled = kStart, lowest = store, calmUntil = kStart + 6000;
     int id = 0, leader = 0;
-    for (double now = kStart; now < kStart + 12000; now += 4) {
-        if (chance(0.002)) leader = static_cast<int>(random() % count);
+    for (double now = kStart; now < kStart + (day.alone ? 60000 : 12000); now += 4) {
+        if (chance(day.alone ? 0.0004 : 0.002)) leader = static_cast<int>(random() % count);
         if (day.restarts && now > calmUntil) {
             calmUntil = now + 20000 * plan.limitBurst / plan.limit / 36;
             const int struck = chance(0.5) ? day.hosts / 2 : 1;
@@ -282,7 +378,7 @@
                 } else {
                     ++m;
                 }
-            if (chance(static_cast<int>(i) == leader ? 0.5 : 0.18 / day.hosts)) {
+            if (chance(static_cast<int>(i) == leader ? 0.5 : day.alone ? 0 : 0.18 / day.hosts)) {
                 const double u = 1 + static_cast<double>(random() % 6);
                 const auto name = "r" + std::to_string(++id);
                 units[name] = u;
@@ -333,6 +429,16 @@
             }
 }
 
+// Lent halves: what is lent may not be there twice, whichever host works next and whoever restarts.
+TEST_P(Limit, HoldsWhereTheWorkMovesFromHostToHost) {
+    for (const bool restarts : {false, true})
+        for (const double loss : {0.0, 0.3}) {
+            const Day day{3, loss, 0.2, 0, restarts, true};
+            EXPECT_GE(lowestStore(static_cast<unsigned>(GetParam()), day), -plainSettings().plans[1].slack)
+                << "loss " << loss << " restarts " << restarts;
+        }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, Limit, ::testing::Range(1, 7));
 
 // ---- nodes kept by one host for all: hundreds of hosts with one node between them ----
