Writes carry a Repr-Digest; a node that finds its content damaged does nothing and is sent it again

Cause: what was damaged between host and node was stored under the name of what was meant, and found only when it was read back, too late for the client that wrote it.

A fault of the stand-in turns over a bit of what comes.

Result: an upload of which two bodies are damaged ends with exit 0 and reads back the same; with all of them damaged it ends with 23 and nothing is kept or listed. Guard by removal: without the 400 taken as not executed Gateway.UploadDamagedOnItsWayIsSentAgain fails.

--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -3,6 +3,7 @@
 pkg_check_modules(GIO REQUIRED IMPORTED_TARGET gio-2.0 gio-unix-2.0)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
+pkg_check_modules(NETTLE REQUIRED IMPORTED_TARGET nettle)
 find_package(yaml-cpp REQUIRED)
 find_package(spdlog REQUIRED)
 find_package(CLI11 REQUIRED)
@@ -26,7 +27,8 @@
   target_link_libraries(sw_${name} PUBLIC ${L_LINKS} PRIVATE spokewheel_options)
 endfunction()
 
-spokewheel_layer(wire_http DIRS src/wire/http SOURCES src/wire/http/message.cpp)
+spokewheel_layer(wire_http DIRS src/wire/http SOURCES src/wire/http/message.cpp src/wire/http/digest.cpp
+  LINKS PkgConfig::NETTLE)
 spokewheel_layer(wire_rsync DIRS src/wire/rsync
   SOURCES src/wire/rsync/bytes.cpp src/wire/rsync/mux.cpp src/wire/rsync/file_list.cpp src/wire/rsync/tokens.cpp
           src/wire/rsync/options.cpp src/wire/rsync/delta.cpp
@@ -48,7 +50,7 @@
   SOURCES src/fronts/store.cpp src/fronts/patience.cpp src/fronts/rsync/channel.cpp src/fronts/rsync/listing.cpp
           src/fronts/rsync/sending.cpp src/fronts/rsync/receiving.cpp src/fronts/rsync/basis.cpp
           src/fronts/rsync/session.cpp src/fronts/rsync/server.cpp
-  LINKS sw_host sw_catalogue sw_config sw_wire_rsync)
+  LINKS sw_host sw_catalogue sw_config sw_wire_rsync sw_wire_http)
 spokewheel_layer(daemon DIRS src/daemon SOURCES src/daemon/daemon.cpp
   LINKS sw_fronts sw_nodes sw_registry sw_peers sw_log)
 spokewheel_layer(standins DIRS standins SOURCES standins/http_server.cpp standins/storage_node.cpp standins/registry.cpp
--- a/fuzz/http_fuzz.cpp
+++ b/fuzz/http_fuzz.cpp
@@ -2,6 +2,7 @@
 #include <cstdlib>
 
 #include "fuzz/driver.hpp"
+#include "wire/http/digest.hpp"
 #include "wire/http/message.hpp"
 
 using namespace spokewheel::wire::http;
@@ -43,5 +44,10 @@
         if (found(kind, text, size + 1) != found(kind, text, 1)) std::abort();
     if (const auto plain = unescape(text); plain && unescape(escape(*plain)) != plain) std::abort();
     parseRange(text);
+    // A value is taken as matching only where it holds the digest of the content.
+    const auto cut = text.substr(0, text.size() / 2), rest = text.substr(text.size() / 2);
+    const auto own = reprDigest(rest);
+    if (checkDigest(cut, rest) == Digest::Matches && cut.find(own.substr(9, 42)) == cut.npos) std::abort();
+    if (checkDigest(own, rest) != Digest::Matches) std::abort();
     return 0;
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -139,6 +139,7 @@
     d.largeFromBytes = o.bytes("large-from", 0, 0, 1024 * kGiB);
     if (d.largeReadClass.empty()) d.largeFromBytes = 0;
     d.unitBytes = o.bytes("unit", 64 * kKiB, 1, kGiB);
+    d.digests = o.flag("digest", true);
     d.pieceBytes = o.bytes("piece", 512 * kKiB, 4 * kKiB, kGiB / 16);
     auto& m = d.module;
     m.topUnits =
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -33,6 +33,7 @@
     std::vector<PeerSettings> peers;
     std::vector<VolumeSettings> volumes;
     std::string readClass, largeReadClass, writeClass;
+    bool digests = true;  // each write carries a Repr-Digest
     std::uint64_t largeFromBytes = 0, unitBytes = 64 * 1024;
     std::uint64_t pieceBytes = 512 * 1024, memoryBytes = 96 << 20;
     std::size_t piecesAhead = 8, filesAhead = 32, connections = 256, connectionsByAddress = 0,
--- a/src/fronts/store.cpp
+++ b/src/fronts/store.cpp
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "wire/http/digest.hpp"
+
 namespace spokewheel::fronts {
 namespace {
 
@@ -80,6 +82,8 @@
     exchange->method = "PUT";
     exchange->fields.emplace_back("If-None-Match", "*");
     exchange->fields.emplace_back("Idempotency-Key", "\"" + exchange->target.substr(1) + "\"");
+    if (settings_.digests)
+        exchange->fields.emplace_back("Repr-Digest", wire::http::reprDigest(*exchange->body));
     exchange->mostAnswer = 4096;
     const auto shape = host::shapeOf(rules_, host::Operation::Write, fileBytes, exchange->body->size());
     return submit(volume, shape, keyOf(volume.name + "/" + path), -1, exchange,
@@ -87,7 +91,6 @@
                       WriteResult r;
                       r.refused = a.kind == host::Answer::Kind::Refused;
                       r.holdOffMs = a.holdOffMs;
-                      r.holdOffMs = a.holdOffMs;
                       const bool stored = a.status == 200 || a.status == 201 || a.status == 204;
                       r.fine = a.kind == host::Answer::Kind::Served && (stored || a.status == 412);
                       r.shard = a.shard;
--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -27,7 +27,7 @@
     LinkPtr link;
     AttemptResult result;
     io::Timer expiry, later;
-    bool tooLong = false;
+    bool tooLong = false, wantsDigest = false;
 };
 
 namespace {
@@ -44,8 +44,8 @@
 
 // A definite answer of the node counts as served, whatever it says of the object: the work was done. What a
 // missing object or a failed condition means is for whoever asked.
-Outcome outcomeOf(int status) {
-    if (status == 503) return Outcome::TurnedAway;
+Outcome outcomeOf(int status, bool wantsDigest) {
+    if (status == 503 || (status == 400 && wantsDigest)) return Outcome::TurnedAway;
     if (status >= 500) return Outcome::ServerError;
     return Outcome::Served;
 }
@@ -173,6 +173,7 @@
                 }
                 f.result.status = head.status;
                 f.result.body.reserve(std::min(link->parser.remaining(), f.exchange->mostAnswer));
+                f.wantsDigest = head.find("Want-Repr-Digest") != nullptr;
                 f.result.usage = figure(head, "Spokewheel-Usage");
                 f.result.othersGot = figure(head, "Spokewheel-Others");
                 break;
@@ -184,7 +185,8 @@
             case Got::End: {
                 const bool early = link->connection->queued() > 0;  // answered before all of it was sent
                 const bool keep = !link->parser.closes() && bytes.empty() && !early;
-                return end(id, f.tooLong ? Outcome::ServerError : outcomeOf(f.result.status), keep);
+                const auto outcome = outcomeOf(f.result.status, f.wantsDigest);
+                return end(id, f.tooLong ? Outcome::ServerError : outcome, keep);
             }
             case Got::Bad:
                 return end(id, Outcome::ServerError, false);
--- a/src/nodes/node_client.hpp
+++ b/src/nodes/node_client.hpp
@@ -55,7 +55,9 @@
     std::map<std::string, std::vector<LinkPtr>> links_;  // by node, idle and in use
 };
 
-// What a status says of an exchange: an answer, an error, or "not executed" (503).
-Outcome outcomeOf(int status);
+// What an answer says of an exchange: an answer, an error, or "not executed". That is 503, and 400 with
+// Want-Repr-Digest: what came is not what the digest in the request told of (RFC 9530, 4), so the node did
+// nothing and the same bytes may be sent again.
+Outcome outcomeOf(int status, bool wantsDigest);
 
 }  // namespace spokewheel::nodes
--- a/standins/storage_node.cpp
+++ b/standins/storage_node.cpp
@@ -10,6 +10,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "wire/http/digest.hpp"
+
 namespace spokewheel::standins {
 namespace {
 
@@ -145,6 +147,8 @@
         trace("refuse", r, 503);
         return server_->answer(r.connection, 503, {{"Retry-After", "1"}}, "");
     }
+    if (!r.body.empty() && faults_.damage && faulty())
+        r.body[r.body.size() / 2] = static_cast<char>(r.body[r.body.size() / 2] ^ 1);
     auto task = std::make_shared<Task>();
     task->request = std::move(r);
     if (faults_.deaf && faulty()) return;
@@ -229,6 +233,13 @@
 }
 
 void StorageNode::put(const Request& r) {
+    if (const auto* told = r.head.find("Repr-Digest")) {
+        const auto found = wire::http::checkDigest(*told, r.body);
+        if (found == wire::http::Digest::Differs || found == wire::http::Digest::Bad) {
+            trace("damaged", r, 400);
+            return reply(r, 400, {{"Want-Repr-Digest", "sha-256=10"}}, "");
+        }
+    }
     const auto* condition = r.head.find("If-None-Match");
     const auto found = objects_.find(r.path);
     if (found != objects_.end() && condition && *condition == "*") {
@@ -325,10 +336,10 @@
 // ---------------------------------------------------------------- control
 bool StorageNode::setFault(const std::string& name, const std::string& value) {
     const std::map<std::string, bool*> flags = {
-        {"silent", &faults_.silent},     {"deaf", &faults_.deaf},
-        {"refuse", &faults_.refuse},     {"cut-before-answer", &faults_.cutBeforeAnswer},
-        {"cut-idle", &faults_.cutIdle},  {"flip", &faults_.flip},
-        {"half-open", &faults_.halfOpen}};
+        {"silent", &faults_.silent},      {"deaf", &faults_.deaf},
+        {"refuse", &faults_.refuse},      {"cut-before-answer", &faults_.cutBeforeAnswer},
+        {"cut-idle", &faults_.cutIdle},   {"flip", &faults_.flip},
+        {"half-open", &faults_.halfOpen}, {"damage", &faults_.damage}};
     if (const auto f = flags.find(name); f != flags.end()) *f->second = value == "1";
     else if (name == "cut-body") return number(value, faults_.cutBody);
     else if (name == "late-ms") return number(value, faults_.lateMs);
--- a/standins/storage_node.hpp
+++ b/standins/storage_node.hpp
@@ -36,6 +36,7 @@
     bool cutBeforeAnswer = false;  // executes, then closes
     bool cutIdle = false;          // closes each kept connection as soon as it has answered
     bool flip = false;             // one bit of each answer's body is wrong
+    bool damage = false;           // one bit of each body that comes is turned over on its way here
     long cutBody = -1;             // an answer's body is cut after so many bytes
     double lateMs = 0;             // answers so much later
     double slow = 1;               // work takes so many times as long
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -246,6 +246,26 @@
     EXPECT_FALSE(fs::exists(at("down/f")));
 }
 
+// What is damaged on its way to a node is found there by its digest, kept nowhere and sent again; where all
+// of it is damaged, the client is told and nothing is shown.
+TEST_F(Gateway, UploadDamagedOnItsWayIsSentAgain) {
+    nodes(1);
+    fleet_->startHost(0);
+    make("f", 100000);
+    ASSERT_TRUE(fleet_->control(0, "/faults?damage=1&times=2"));
+    auto r = push(0);
+    EXPECT_EQ(r.status, 0) << r.output;
+    EXPECT_EQ(fleet_->traced(0, {"\"damaged\""}), 2u);
+    EXPECT_EQ(pull(0).status, 0);
+    EXPECT_EQ(run({"diff", "-r", up(), at("down")}, 10).status, 0);
+    const auto kept = fleet_->traced(0, {"\"execute\"", "PUT"});
+    ASSERT_TRUE(fleet_->control(0, "/faults?damage=1&times=-1"));
+    make("g", 100000, 2);
+    EXPECT_EQ(push(0).status, 23);
+    EXPECT_EQ(fleet_->traced(0, {"\"execute\"", "PUT"}), kept);
+    EXPECT_FALSE(listed(0, "g"));
+}
+
 TEST_F(Gateway, FullQueueAndClosedKeptConnectionsAreTriedAgain) {
     nodes(1);
     fleet_->startHost(0);
--- a/tests/wire/http_test.cpp
+++ b/tests/wire/http_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "wire/http/digest.hpp"
 #include "wire/http/message.hpp"
 
 namespace spokewheel::wire::http {
@@ -83,5 +84,22 @@
     EXPECT_FALSE(parseRange("bytes=9-2"));
 }
 
+// The digest of "hello" is known from elsewhere (sha256sum).
+TEST(Http, DigestsAreFoundAmongOthersAndBadOnesAreTold) {
+    const std::string own = "sha-256=:LPJNul+wow4m6DsqxbninhsWHlwfp0JecwQzYpOLmCQ=:";
+    EXPECT_EQ(reprDigest("hello"), own);
+    EXPECT_EQ(checkDigest(own, "hello"), Digest::Matches);
+    EXPECT_EQ(checkDigest(own, "hellp"), Digest::Differs);
+    EXPECT_EQ(checkDigest("md5=:abc=:,\t" + own + ", x=:YQ==:", "hello"), Digest::Matches);
+    EXPECT_EQ(checkDigest("sha-256=:AAAA:, " + own, "hello"), Digest::Matches);  // the last one counts
+    EXPECT_EQ(checkDigest("sha-512=:abc=:", "hello"), Digest::Absent);
+    EXPECT_EQ(checkDigest("", "hello"), Digest::Absent);
+    for (const std::string bad : {"sha-256", "sha-256=abc", "sha-256=:LPJN", "sha-256=:LPJN:", "SHA-256=:a:",
+                                  "sha-256=:????????????????????????????????????????????:", "=:a:"})
+        EXPECT_EQ(checkDigest(bad, "hello"), Digest::Bad) << bad;
+    EXPECT_EQ(checkDigest(own + ",", "hello"), Digest::Bad);
+    EXPECT_EQ(checkDigest(own + std::string(5000, ' '), "hello"), Digest::Bad);
+}
+
 }  // namespace
 }  // namespace spokewheel::wire::http
