File lists are built, sorted, sent and planned in slices, a turn of the loop each

Cause: a list of 100,000 entries was made in one go, some 100 ms in which no other session of the host was served, and as long again where a client pushed one.

Change: the catalogue is walked by parts, ListSorter merges in steps of bounded work, the list is written and what a push wants is planned 1,000 entries at a time; Half::nextTurn() is the one way to give up a turn, so that a half which gives it up without being called again is found as stuck. Sorting keys lie in blocks: letting go of 100,000 strings alone took 8 to 15 ms. The session model plays with slices of 1 to 4 entries.

Guards by removal: each of the four nextTurn() (SessionModel.EveryPullEndsWithEachFileWholeOrTold twice, EveryPushEndsWithEachFileShownWholeOrTold twice).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEED ?= 1
 MIXES ?= 2000
 
-.PHONY: all setup build test sanitize demo bench sizes bad-day matrix limited format check-format fuzz clean
+.PHONY: all setup build test sanitize demo bench sizes bad-day matrix limited lists format check-format fuzz clean
 
 all: build
 setup:
@@ -35,6 +35,10 @@
 	@$(CMAKE) -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo -DSPOKEWHEEL_BENCH=ON >/dev/null
 	@cmake --build $(BUILD) -j$(JOBS)
 	$(BUILD)/bin/limited
+lists: setup
+	@$(CMAKE) -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo -DSPOKEWHEEL_BENCH=ON >/dev/null
+	@cmake --build $(BUILD) -j$(JOBS)
+	$(BUILD)/bin/lists
 bad-day: build
 	$(BUILD)/bin/spokewheel bad-day $(SCRIPT) --seed $(SEED) --rounds $(ROUNDS)
 matrix: build
--- a/src/catalogue/catalogue.cpp
+++ b/src/catalogue/catalogue.cpp
@@ -45,6 +45,22 @@
     return out;
 }
 
+Catalogue::Part Catalogue::belowFrom(const std::string& volume, const std::string& directory,
+                                     const std::string& after, std::size_t most) const {
+    Part out;
+    const auto v = volumes_.find(volume);
+    if (v == volumes_.end()) return out;
+    const auto prefix = directory.empty() ? "" : directory + "/";
+    auto it = after.empty() ? v->second.lower_bound(prefix) : v->second.upper_bound(after);
+    for (; it != v->second.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
+        out.more = most-- == 0;
+        if (out.more) return out;
+        out.last = it->first;
+        if (it->second->kind != Kind::Gone) out.shown.push_back(it->second);
+    }
+    return out;
+}
+
 std::size_t Catalogue::countBelow(const std::string& volume, const std::string& directory) const {
     const auto v = volumes_.find(volume);
     if (v == volumes_.end()) return 0;
--- a/src/catalogue/catalogue.hpp
+++ b/src/catalogue/catalogue.hpp
@@ -30,6 +30,15 @@
     std::uint64_t baseVersion(const std::string& volume, const std::string& path) const;
     // All shown below `directory` ("" for the top), in the order of paths; the directory itself is left out.
     std::vector<Shown> below(const std::string& volume, const std::string& directory) const;
+    // A part of the same, for walks in steps: of the `most` paths behind `after` ("": from the first) those
+    // that are shown. What changes meanwhile behind the place reached is seen, what lies before it is not.
+    struct Part {
+        std::vector<Shown> shown;
+        std::string last;  // path looked at last: `after` of the next part
+        bool more = false;
+    };
+    Part belowFrom(const std::string& volume, const std::string& directory, const std::string& after,
+                   std::size_t most) const;
     // How many are shown below it, gone ones counted too: an upper bound that costs no copies.
     std::size_t countBelow(const std::string& volume, const std::string& directory) const;
     // Whether something lies below the path, or it is a directory of its own.
--- a/src/fronts/rsync/context.hpp
+++ b/src/fronts/rsync/context.hpp
@@ -17,6 +17,9 @@
 
 namespace spokewheel::fronts::rsync {
 
+// Entries of a list that a session works on in one go, about a millisecond, before the others' turn.
+constexpr std::size_t kListSlice = 1000;
+
 struct Context {
     const config::DaemonSettings& settings;
     host::Memory& memory;
@@ -28,6 +31,7 @@
     std::function<double()> now;  // milliseconds, never going back
     // Calls back once after the time, unless what it returns is let go before.
     std::function<std::shared_ptr<void>(double ms, std::function<void()>)> after;
+    std::size_t listSlice = kListSlice;
     std::size_t moving = 0;  // sessions that move data, for the parts of memory
 };
 
@@ -66,6 +70,8 @@
 // again whenever one of them changed.
 class Half {
   public:
+    // `wake` has advance() called from the loop, once, in a turn of its own.
+    explicit Half(std::function<void()> wake) : wake_(std::move(wake)) {}
     virtual ~Half() = default;
     // False once the session is over; fault() is then empty or says why it broke.
     virtual bool advance() = 0;
@@ -78,6 +84,14 @@
     const std::string& fault() const { return fault_; }
 
   protected:
+    // For work that goes slice by slice: the rest comes in the next turn. advance() takes it back.
+    bool nextTurn() {
+        turn_ = true;
+        wake_();
+        return false;
+    }
+    std::function<void()> wake_;
+    bool turn_ = false;
     std::string fault_;
 };
 
--- a/src/fronts/rsync/listing.cpp
+++ b/src/fronts/rsync/listing.cpp
@@ -10,133 +10,147 @@
 using catalogue::Kind;
 using wire::rsync::FileEntry;
 
-namespace {
-
-class Builder {
-  public:
-    Builder(const catalogue::Catalogue& catalogue, const std::string& volume,
-            const wire::rsync::Options& options, const wire::rsync::Filter& filter, std::size_t most)
-        : catalogue_(catalogue), volume_(volume), options_(options), filter_(filter), most_(most) {}
-
-    void file(const catalogue::Shown& v, const std::string& name) {
-        if (filter_.excluded(name, false) || full()) return;
-        Listed l;
-        l.entry.name = name;
-        l.entry.size = v->size;
-        l.entry.mtime = v->mtime;
-        l.entry.nsec = v->nsec;
-        l.entry.mode = wire::rsync::kRegular | (v->mode & 07777);
-        if (options_.checksum) l.entry.sum = sumOf(v->digest);
-        l.version = v;
-        out.files.push_back(std::move(l));
-    }
-    void directory(const std::string& path, const std::string& name, bool top, bool content) {
-        if (!named_.insert(name).second || (name != "." && filter_.excluded(name, true)) || full()) return;
-        const auto own = catalogue_.find(volume_, path);
-        Listed l;
-        l.entry.name = name;
-        l.entry.mode = wire::rsync::kDirectory | (own ? own->mode & 07777 : 0755);
-        l.entry.mtime = own ? own->mtime : 0;
-        l.entry.top = top;
-        l.entry.content = content;
-        out.files.push_back(std::move(l));
-    }
-    // All below `path`, named from `prefix` on ("" or with a slash at its end).
-    void tree(const std::string& path, const std::string& prefix) {
-        const auto skip = path.empty() ? 0 : path.size() + 1;
-        for (const auto& v : catalogue_.below(volume_, path)) {
-            const auto rest = v->path.substr(skip);
-            // Directories that nobody stored as such exist by what they hold.
-            for (auto slash = rest.find('/'); slash != rest.npos; slash = rest.find('/', slash + 1))
-                directory(v->path.substr(0, skip + slash), prefix + rest.substr(0, slash), false, true);
-            if (v->kind == Kind::Directory) directory(v->path, prefix + rest, false, true);
-            else file(v, prefix + rest);
-        }
-    }
-    void argument(const ModulePath& p) {
-        if (!p.fault.empty()) return fault("path " + p.fault);
-        if (const auto v = catalogue_.find(volume_, p.path); v && v->kind == Kind::File)
-            return named(p, [&](const std::string& name) { file(v, name); });
-        if (!catalogue_.isDirectory(volume_, p.path)) {
-            if ((p.path.find_first_of("*?[") == p.path.npos || !pattern(p)) && !options_.ignoreMissing)
-                fault("\"" + p.path + "\" is not there (in " + volume_ + ")");
-            return;
+ListBuilder::ListBuilder(const catalogue::Catalogue& catalogue, const std::string& volume,
+                         const wire::rsync::Options& options, std::vector<ModulePath> paths,
+                         const wire::rsync::Filter& filter, std::size_t most)
+    : catalogue_(catalogue), volume_(volume), options_(options), filter_(filter), most_(most) {
+    for (auto& p : paths) tasks_.push_back({What::Argument, std::move(p), "", "", {}});
+}
+
+bool ListBuilder::step(std::size_t entries) {
+    while (!tasks_.empty()) {
+        if (entries == 0) return false;
+        auto task = std::move(tasks_.front());
+        tasks_.pop_front();
+        if (task.what == What::Argument) {
+            --entries;
+            argument(task.path);
+            continue;
         }
-        if (!options_.recurse && !options_.directories) return fault("skipping directory " + p.path);
-        const bool inside = p.path.empty() || p.trailingSlash;
-        if (options_.relative) {
-            const auto name = p.path.substr(p.base);
-            parents(p);
-            directory(p.path, name.empty() ? "." : name, true, options_.recurse || inside);
-            const auto prefix = name.empty() ? "" : name + "/";
-            if (options_.recurse) tree(p.path, prefix);
-            else if (inside) shallow(p.path, prefix);
-            return;
+        const auto& below = task.what == What::Pattern ? std::string() : task.path.path;
+        const auto part = catalogue_.belowFrom(volume_, below, task.after, entries);
+        entries -= std::min(entries, part.shown.size() + 1);
+        for (const auto& v : part.shown) walk(task, v);
+        task.after = part.last;
+        if (!part.more) {
+            over(std::move(task));
+            continue;
         }
-        const auto base = p.path.substr(p.path.rfind('/') + 1);
-        directory(p.path, inside ? "." : base, true, options_.recurse || inside);
-        if (options_.recurse) tree(p.path, inside ? "" : base + "/");
-        else if (inside) shallow(p.path, "");
+        tasks_.push_front(std::move(task));
+        return false;
     }
-    void fault(std::string words) {
-        if (out.faults.size() < 100) out.faults.push_back(std::move(words));
-    }
-    Listing out;
-
-  private:
-    bool full() {
-        if (out.files.size() < most_) return false;
-        if (!told_) fault("more than " + std::to_string(most_) + " files: list is cut off");
-        told_ = true;
-        return true;
+    // A key moves through a dozen merges while it is sorted, which together cost about what finding it does.
+    if (entries == 0 || !sorter_.step(4 * entries)) return false;
+    for (; moved_ < found_.size(); --entries) {
+        if (entries == 0) return false;
+        auto& next = found_[sorter_.order()[moved_++]];
+        // Named by two arguments: once is enough.
+        if (sorted_.files.empty() || sorted_.files.back().entry.name != next.entry.name)
+            sorted_.files.push_back(std::move(next));
     }
-    template <class Then>
-    void named(const ModulePath& p, Then then) {
-        if (options_.relative) parents(p), then(p.path.substr(p.base));
-        else then(p.path.substr(p.path.rfind('/') + 1));
+    return true;
+}
+
+void ListBuilder::put(Listed listed) {
+    sorter_.add(listed.entry);
+    found_.push_back(std::move(listed));
+}
+
+void ListBuilder::file(const catalogue::Shown& v, const std::string& name) {
+    if (filter_.excluded(name, false) || full()) return;
+    Listed l;
+    l.entry.name = name;
+    l.entry.size = v->size;
+    l.entry.mtime = v->mtime;
+    l.entry.nsec = v->nsec;
+    l.entry.mode = wire::rsync::kRegular | (v->mode & 07777);
+    if (options_.checksum) l.entry.sum = sumOf(v->digest);
+    l.version = v;
+    put(std::move(l));
+}
+
+void ListBuilder::directory(const std::string& path, const std::string& name, bool top, bool content) {
+    if (!named_.insert(name).second || (name != "." && filter_.excluded(name, true)) || full()) return;
+    const auto own = catalogue_.find(volume_, path);
+    Listed l;
+    l.entry.name = name;
+    l.entry.mode = wire::rsync::kDirectory | (own ? own->mode & 07777 : 0755);
+    l.entry.mtime = own ? own->mtime : 0;
+    l.entry.top = top;
+    l.entry.content = content;
+    put(std::move(l));
+}
+
+void ListBuilder::argument(const ModulePath& p) {
+    if (!p.fault.empty()) return fault("path " + p.fault);
+    if (const auto v = catalogue_.find(volume_, p.path); v && v->kind == Kind::File) {
+        if (options_.relative) parents(p);
+        return file(v, p.path.substr(options_.relative ? p.base : p.path.rfind('/') + 1));
     }
-    // The directories on the way, from the base on.
-    void parents(const ModulePath& p) {
-        for (auto slash = p.path.find('/', p.base); slash != p.path.npos; slash = p.path.find('/', slash + 1))
-            directory(p.path.substr(0, slash), p.path.substr(p.base, slash - p.base), false, false);
+    if (!catalogue_.isDirectory(volume_, p.path)) {
+        Task task{What::Pattern, p, "", "", {}};
+        if (p.path.find_first_of("*?[") != p.path.npos) return tasks_.push_front(std::move(task));
+        return over(std::move(task));
     }
-    // One level, for a plain listing without -r.
-    void shallow(const std::string& path, const std::string& prefix) {
-        const auto skip = path.empty() ? 0 : path.size() + 1;
-        for (const auto& v : catalogue_.below(volume_, path)) {
-            const auto rest = v->path.substr(skip);
-            const auto slash = rest.find('/');
-            if (slash != rest.npos)
-                directory(v->path.substr(0, skip + slash), prefix + rest.substr(0, slash), false, false);
-            else if (v->kind == Kind::Directory) directory(v->path, prefix + rest, false, false);
-            else file(v, prefix + rest);
-        }
+    if (!options_.recurse && !options_.directories) return fault("skipping directory " + p.path);
+    const bool inside = p.path.empty() || p.trailingSlash;
+    const auto name = p.path.substr(options_.relative ? p.base : p.path.rfind('/') + 1);
+    if (options_.relative) parents(p);
+    const bool atTop = options_.relative ? name.empty() : inside;
+    directory(p.path, atTop ? "." : name, true, options_.recurse || inside);
+    if (options_.recurse || inside)
+        tasks_.push_front({options_.recurse ? What::Tree : What::Level, p, atTop ? "" : name + "/", "", {}});
+}
+
+// One of what lies below the task's path.
+void ListBuilder::walk(Task& task, const catalogue::Shown& v) {
+    const auto& path = task.path.path;
+    if (task.what == What::Pattern) {
+        // A shell pattern over whole paths of as many parts.
+        const auto depth = std::count(path.begin(), path.end(), '/');
+        std::size_t end = 0;
+        for (long i = 0; i <= depth && end != v->path.npos; ++i) end = v->path.find('/', end + (i > 0));
+        if (std::count(v->path.begin(), v->path.end(), '/') < depth) return;
+        const auto head = v->path.substr(0, end);
+        if (wire::rsync::wildMatch(path, head)) task.hits.insert(head);
+        return;
     }
-    // A shell pattern over whole paths of as many parts.
-    bool pattern(const ModulePath& p) {
-        const auto depth = std::count(p.path.begin(), p.path.end(), '/');
-        std::set<std::string> hits;
-        for (const auto& v : catalogue_.below(volume_, "")) {
-            std::size_t end = 0;
-            for (long i = 0; i <= depth && end != v->path.npos; ++i) end = v->path.find('/', end + (i > 0));
-            if (std::count(v->path.begin(), v->path.end(), '/') < depth) continue;
-            const auto head = v->path.substr(0, end);
-            if (wire::rsync::wildMatch(p.path, head)) hits.insert(head);
-        }
-        for (const auto& hit : hits) argument({hit, false, 0, ""});
-        return !hits.empty();
+    const bool tree = task.what == What::Tree;
+    const auto skip = path.empty() ? 0 : path.size() + 1;
+    const auto rest = v->path.substr(skip);
+    // Directories that nobody stored as such exist by what they hold. Without -r one level is listed.
+    for (auto slash = rest.find('/'); slash != rest.npos; slash = rest.find('/', slash + 1)) {
+        directory(v->path.substr(0, skip + slash), task.prefix + rest.substr(0, slash), false, tree);
+        if (!tree) return;
     }
+    if (v->kind == Kind::Directory) directory(v->path, task.prefix + rest, false, tree);
+    else file(v, task.prefix + rest);
+}
+
+void ListBuilder::over(Task task) {
+    if (task.what != What::Pattern) return;
+    for (auto hit = task.hits.rbegin(); hit != task.hits.rend(); ++hit)
+        tasks_.push_front({What::Argument, {*hit, false, 0, ""}, "", "", {}});
+    if (task.hits.empty() && !options_.ignoreMissing)
+        fault("\"" + task.path.path + "\" is not there (in " + volume_ + ")");
+}
+
+// The directories on the way, from the base on.
+void ListBuilder::parents(const ModulePath& p) {
+    for (auto slash = p.path.find('/', p.base); slash != p.path.npos; slash = p.path.find('/', slash + 1))
+        directory(p.path.substr(0, slash), p.path.substr(p.base, slash - p.base), false, false);
+}
 
-    const catalogue::Catalogue& catalogue_;
-    const std::string& volume_;
-    const wire::rsync::Options& options_;
-    const wire::rsync::Filter& filter_;
-    std::size_t most_;
-    std::set<std::string> named_;
-    bool told_ = false;
-};
+void ListBuilder::fault(std::string words) {
+    if (sorted_.faults.size() < 100) sorted_.faults.push_back(std::move(words));
+}
 
-}  // namespace
+bool ListBuilder::full() {
+    if (found_.size() < most_) return false;
+    if (!told_) fault("more than " + std::to_string(most_) + " files: list is cut off");
+    told_ = true;
+    return true;
+}
 
 ModulePath modulePath(const std::string& volume, const std::string& argument) {
     ModulePath out;
@@ -163,24 +177,4 @@
     return out;
 }
 
-Listing listFiles(const catalogue::Catalogue& catalogue, const std::string& volume,
-                  const wire::rsync::Options& options, const std::vector<ModulePath>& paths,
-                  const wire::rsync::Filter& filter, std::size_t most) {
-    Builder build(catalogue, volume, options, filter, most);
-    for (const auto& p : paths) build.argument(p);
-    auto out = std::move(build.out);
-    std::vector<std::pair<std::string, std::size_t>> keys(out.files.size());
-    for (std::size_t i = 0; i < keys.size(); ++i) keys[i] = {wire::rsync::sortKey(out.files[i].entry), i};
-    std::sort(keys.begin(), keys.end());
-    std::vector<Listed> sorted;
-    sorted.reserve(keys.size());
-    for (const auto& [key, i] : keys) {
-        // Named by two arguments: once is enough.
-        if (!sorted.empty() && sorted.back().entry.name == out.files[i].entry.name) continue;
-        sorted.push_back(std::move(out.files[i]));
-    }
-    out.files = std::move(sorted);
-    return out;
-}
-
 }  // namespace spokewheel::fronts::rsync
--- a/src/fronts/rsync/listing.hpp
+++ b/src/fronts/rsync/listing.hpp
@@ -1,6 +1,8 @@
 // Which files of a volume a client's arguments name, as the list it is sent. Reads the catalogue; no I/O.
 #pragma once
 
+#include <deque>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,7 +17,7 @@
     catalogue::Shown version;  // pinned: what is served even where the path is replaced meanwhile
 };
 struct Listing {
-    std::vector<Listed> files;        // in the order both sides number them
+    std::deque<Listed> files;         // in the order both sides number them; never moved to grow
     std::vector<std::string> faults;  // arguments that name nothing, options that can't be met
 };
 
@@ -30,8 +32,48 @@
 };
 ModulePath modulePath(const std::string& volume, const std::string& argument);
 
-Listing listFiles(const catalogue::Catalogue& catalogue, const std::string& volume,
-                  const wire::rsync::Options& options, const std::vector<ModulePath>& paths,
-                  const wire::rsync::Filter& filter, std::size_t most);
+// Makes such a list in steps of bounded work: walks the catalogue, then sorts. Everything it is given
+// outlives it. A path that changes while it walks is listed as it was or as it is.
+class ListBuilder {
+  public:
+    ListBuilder(const catalogue::Catalogue& catalogue, const std::string& volume,
+                const wire::rsync::Options& options, std::vector<ModulePath> paths,
+                const wire::rsync::Filter& filter, std::size_t most);
+    // Goes on for about so many entries; true once the list is whole.
+    bool step(std::size_t entries);
+    Listing take() { return std::move(sorted_); }
+
+  private:
+    enum class What { Argument, Tree, Level, Pattern };
+    struct Task {
+        What what = What::Argument;
+        ModulePath path;
+        std::string prefix;          // of the names: "" or with a slash at its end
+        std::string after;           // as far as the walk has come
+        std::set<std::string> hits;  // of a pattern
+    };
+    void file(const catalogue::Shown& v, const std::string& name);
+    void directory(const std::string& path, const std::string& name, bool top, bool content);
+    void argument(const ModulePath& p);
+    void walk(Task& task, const catalogue::Shown& v);
+    void over(Task task);
+    void parents(const ModulePath& p);
+    void put(Listed listed);
+    void fault(std::string words);
+    bool full();
+
+    const catalogue::Catalogue& catalogue_;
+    const std::string& volume_;
+    const wire::rsync::Options& options_;
+    const wire::rsync::Filter& filter_;
+    std::size_t most_;
+    std::deque<Task> tasks_;
+    std::set<std::string> named_;  // directories that are listed
+    std::deque<Listed> found_;
+    wire::rsync::ListSorter sorter_;
+    std::size_t moved_ = 0;
+    bool told_ = false;
+    Listing sorted_;
+};
 
 }  // namespace spokewheel::fronts::rsync
--- a/src/fronts/rsync/receiving.cpp
+++ b/src/fronts/rsync/receiving.cpp
@@ -27,10 +27,10 @@
 }  // namespace
 
 Receiving::Receiving(Context& context, Agreed agreed, Channel& channel, std::function<void()> wake)
-    : context_(context),
+    : Half(std::move(wake)),
+      context_(context),
       agreed_(std::move(agreed)),
       channel_(channel),
-      wake_(std::move(wake)),
       filter_(wire::rsync::Filter::Side::Receiver),
       tokens_(agreed_.options.compress) {
     const auto& o = agreed_.options;
@@ -98,6 +98,7 @@
 }
 
 bool Receiving::advance() {
+    turn_ = false;
     for (bool more = true; more;) {
         switch (state_) {
             case State::Filter:
@@ -106,6 +107,12 @@
             case State::List:
                 more = readList();
                 break;
+            case State::Sort:
+                more = sort();
+                break;
+            case State::Plan:
+                more = plan();
+                break;
             case State::Transfer: {
                 const bool a = request(), b = chores(), c = state_ == State::Transfer && read();
                 more = state_ == State::Transfer && rounds();
@@ -130,6 +137,9 @@
         case State::List:
         case State::Goodbye:
             return Waits::Client;
+        case State::Sort:
+        case State::Plan:
+            return turn_ ? Waits::Timer : Waits::Nothing;
         case State::Transfer:
             break;
         case State::Over:
@@ -188,12 +198,14 @@
                         return broken("no memory for a file list this long now, try again later");
                     listLeases_.push_back(context_.memory.take(bytes));
                 }
+                sorter_.add(entry);
                 list_.push_back(std::move(entry));
                 break;
             case ListReader::Got::End:
                 channel_.took(before - in.size());
-                plan();
-                return state_ != State::Over;
+                sorted_.reserve(list_.size());
+                state_ = State::Sort;
+                return true;
         }
     }
 }
@@ -217,10 +229,27 @@
     return v;
 }
 
-void Receiving::plan() {
+// Sorting and planning go slice by slice, so that other sessions go on meanwhile.
+bool Receiving::sort() {
+    bool whole = sorter_.step(4 * context_.listSlice);
+    if (whole) {
+        const auto& order = sorter_.order();
+        for (std::size_t n = 0; n < context_.listSlice && sorted_.size() < order.size(); ++n)
+            putSorted(sorted_, kept_, std::move(list_[order[sorted_.size()]]));
+        whole = sorted_.size() == order.size();
+    }
+    if (!whole) {
+        return nextTurn();
+    }
+    list_ = std::move(sorted_);
+    sorter_ = {};
+    startPlan();
+    return state_ != State::Over;
+}
+
+void Receiving::startPlan() {
     ++context_.moving;
     moving_ = true;
-    sortList(list_);
     const auto& known = agreed_.store->catalogue();
     const auto& volume = agreed_.volume->name;
     renamed_ = list_.size() == 1 && !list_[0].isDirectory() && !target_.trailingSlash &&
@@ -233,22 +262,30 @@
         chore->version = draft(e, target_.path);
         if (!agreed_.options.dryRun) chores_.push_back(std::move(chore));
     }
-    state_ = State::Transfer;
+    state_ = State::Plan;
     if (agreed_.options.pruneEmpty) {
         const auto empty = emptyDirectories();
         for (auto& e : list_)
             if (e.isDirectory() && empty.count(e.name)) e.dropped = true;
     }
-    for (std::size_t i = 0; i < list_.size(); ++i) {
-        const auto& e = list_[i];
+}
+
+bool Receiving::plan() {
+    for (std::size_t n = 0; planned_ < list_.size(); ++planned_, ++n) {
+        if (n == context_.listSlice) {
+            return nextTurn();
+        }
+        const auto& e = list_[planned_];
         if (e.dropped) continue;
         if (const auto why = faultOfName(e.name); !why.empty()) tell(e.name, "name " + why);
         else if (!e.isDirectory() && !e.isFile())
             tell(e.name, (e.mode & kTypeMask) == kSymlink ? "symlinks are not stored"
                                                           : "devices and special files are not stored");
-        else planEntry(static_cast<std::int32_t>(i), pathOf(e));
+        else planEntry(static_cast<std::int32_t>(planned_), pathOf(e));
     }
     if (agreed_.options.remove) planDeletions();
+    state_ = State::Transfer;
+    return true;
 }
 
 // Directories of the list below which no file of it lies; the top is never one.
--- a/src/fronts/rsync/receiving.hpp
+++ b/src/fronts/rsync/receiving.hpp
@@ -23,11 +23,13 @@
     ~Receiving() override;
     bool advance() override;
     void beside(const wire::rsync::Demux::Beside& message) override;
-    bool working() const override { return !open_.empty() || preparing_; }
+    bool working() const override {
+        return !open_.empty() || preparing_ || state_ == State::Sort || state_ == State::Plan;
+    }
     Waits waits() const override;
 
   private:
-    enum class State { Filter, List, Transfer, Goodbye, Over };
+    enum class State { Filter, List, Sort, Plan, Transfer, Goodbye, Over };
     // A small write that is not content: a directory, a deletion, new times of known content.
     struct Chore {
         catalogue::FileVersion version;
@@ -37,7 +39,9 @@
 
     bool readFilter();
     bool readList();
-    void plan();
+    bool sort();
+    void startPlan();
+    bool plan();
     void planEntry(std::int32_t index, const std::string& path);
     void planDeletions();
     std::string pathOf(const wire::rsync::FileEntry& entry) const;
@@ -85,12 +89,14 @@
     Context& context_;
     Agreed agreed_;
     Channel& channel_;
-    std::function<void()> wake_;
     State state_ = State::Filter;
     wire::rsync::Filter filter_;
     ModulePath target_;
-    bool renamed_ = false;  // the one file takes the target's name
-    std::vector<wire::rsync::FileEntry> list_;
+    bool renamed_ = false;                      // the one file takes the target's name
+    std::vector<wire::rsync::FileEntry> list_;  // in the client's order until it is sorted
+    wire::rsync::ListSorter sorter_;
+    std::vector<wire::rsync::FileEntry> sorted_;
+    std::size_t kept_ = 0, planned_ = 0;
     std::unique_ptr<wire::rsync::ListReader> listReader_;
     wire::rsync::IndexCoder in_, out_;
     wire::rsync::TokenReader tokens_;
--- a/src/fronts/rsync/sending.cpp
+++ b/src/fronts/rsync/sending.cpp
@@ -72,10 +72,10 @@
 }
 
 Sending::Sending(Context& context, Agreed agreed, Channel& channel, std::function<void()> wake)
-    : context_(context),
+    : Half(std::move(wake)),
+      context_(context),
       agreed_(std::move(agreed)),
       channel_(channel),
-      wake_(std::move(wake)),
       filter_(wire::rsync::Filter::Side::Sender),
       tokens_(agreed_.options.compress, agreed_.options.compressLevel),
       throttle_(agreed_.options.bytesPerS) {
@@ -96,6 +96,7 @@
 }
 
 bool Sending::advance() {
+    turn_ = false;
     for (bool more = true; more;) {
         switch (state_) {
             case State::Filter:
@@ -107,6 +108,9 @@
             case State::Wait:
                 more = mayList();
                 break;
+            case State::Build:
+                more = buildList();
+                break;
             case State::List:
                 more = writeList();
                 break;
@@ -139,8 +143,10 @@
             return Waits::Client;
         case State::Wait:
             return retry_ ? Waits::Memory : Waits::Nothing;
+        case State::Build:
+            return turn_ ? Waits::Timer : Waits::Nothing;
         case State::List:
-            return channel_.blocked() ? Waits::Room : Waits::Nothing;
+            return channel_.blocked() ? Waits::Room : turn_ ? Waits::Timer : Waits::Nothing;
         case State::Serve: {
             if (channel_.blocked()) return Waits::Room;
             if (pause_) return Waits::Timer;
@@ -218,14 +224,25 @@
     }
     retry_.reset();
     listLease_ = context_.memory.take(bytes);
-    makeList();
+    builder_ = std::make_unique<ListBuilder>(agreed_.store->catalogue(), agreed_.volume->name,
+                                             agreed_.options, paths_, filter_, context_.settings.listEntries);
+    state_ = State::Build;
     return true;
 }
 
-void Sending::makeList() {
+// Slice by slice, so that other sessions go on meanwhile.
+bool Sending::buildList() {
+    if (!builder_->step(context_.listSlice)) {
+        return nextTurn();
+    }
+    listing_ = builder_->take();
+    builder_.reset();
+    startList();
+    return true;
+}
+
+void Sending::startList() {
     const auto& o = agreed_.options;
-    listing_ = listFiles(agreed_.store->catalogue(), agreed_.volume->name, o, paths_, filter_,
-                         context_.settings.listEntries);
     // A list that may lack files must not make a client delete its own.
     if (!context_.complete()) listing_.faults.emplace_back("not all storage nodes have been read yet");
     for (const auto& fault : listing_.faults) {
@@ -245,7 +262,11 @@
 }
 
 bool Sending::writeList() {
-    for (; listAt_ < listing_.files.size(); ++listAt_) {
+    for (std::size_t n = 0; listAt_ < listing_.files.size(); ++listAt_, ++n) {
+        if (n == context_.listSlice) {
+            channel_.flush();
+            return nextTurn();
+        }
         if (channel_.blocked()) {
             channel_.flush();
             if (channel_.blocked()) return false;
--- a/src/fronts/rsync/sending.hpp
+++ b/src/fronts/rsync/sending.hpp
@@ -20,11 +20,11 @@
     Sending(Context& context, Agreed agreed, Channel& channel, std::function<void()> wake);
     ~Sending() override;
     bool advance() override;
-    bool working() const override { return open_ > 0 || state_ == State::Wait; }
+    bool working() const override { return open_ > 0 || state_ == State::Wait || state_ == State::Build; }
     Waits waits() const override;
 
   private:
-    enum class State { Filter, Names, Wait, List, Serve, Goodbye, Over };
+    enum class State { Filter, Names, Wait, Build, List, Serve, Goodbye, Over };
     struct Slot {  // one object asked for
         std::string body, request;
         std::size_t passed = 0;  // bytes of the body that went out
@@ -53,7 +53,8 @@
     bool readFilter();
     bool readNames();
     bool mayList();
-    void makeList();
+    bool buildList();
+    void startList();
     bool writeList();
     bool readRequests();
     bool readSums(Job& job);
@@ -72,11 +73,11 @@
     Context& context_;
     Agreed agreed_;
     Channel& channel_;
-    std::function<void()> wake_;
     State state_ = State::Filter;
     wire::rsync::Filter filter_;
     std::vector<ModulePath> paths_;
     std::vector<std::string> names_;
+    std::unique_ptr<ListBuilder> builder_;
     Listing listing_;
     std::size_t listAt_ = 0;
     std::unique_ptr<wire::rsync::ListWriter> listWriter_;
--- a/src/wire/rsync/file_list.cpp
+++ b/src/wire/rsync/file_list.cpp
@@ -1,6 +1,7 @@
 #include "wire/rsync/file_list.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 
 namespace spokewheel::wire::rsync {
@@ -205,19 +206,72 @@
     return key;
 }
 
+void ListSorter::add(const FileEntry& entry) {
+    constexpr std::size_t kBlock = 64 * 1024;
+    const auto key = sortKey(entry);
+    if (blocks_.empty() || blocks_.back().capacity() - blocks_.back().size() < key.size())
+        blocks_.emplace_back().reserve(std::max(kBlock, key.size()));
+    auto& block = blocks_.back();
+    const auto at = block.size();
+    block += key;  // fits: what was handed out before stays where it is
+    keys_.push_back(std::string_view(block).substr(at));
+}
+
+bool ListSorter::step(std::size_t moves) {
+    constexpr std::size_t kRun = 256, kRunMoves = 8;  // about what sorting a run costs for each key
+    const auto n = keys_.size();
+    const auto before = [this](std::uint32_t a, std::uint32_t b) {
+        const int order = keys_[a].compare(keys_[b]);
+        return order < 0 || (order == 0 && a < b);
+    };
+    while (width_ == 0 && at_ < n) {
+        if (moves == 0) return false;
+        const auto first = at_;
+        for (at_ = std::min(n, at_ + kRun); from_.size() < at_;)
+            from_.push_back(static_cast<std::uint32_t>(from_.size()));
+        std::sort(from_.begin() + static_cast<std::ptrdiff_t>(first), from_.end(), before);
+        moves -= std::min(moves, kRunMoves * (at_ - first));
+    }
+    if (width_ == 0) width_ = kRun;
+    for (; width_ < n; width_ *= 2) {
+        to_.reserve(n);
+        while (to_.size() < n) {
+            const auto base = to_.size() / (2 * width_) * (2 * width_);
+            const auto middle = std::min(n, base + width_), end = std::min(n, base + 2 * width_);
+            if (to_.size() == base) left_ = base, right_ = middle;
+            for (; to_.size() < end; --moves) {
+                if (moves == 0) return false;
+                const bool right = left_ == middle || (right_ < end && before(from_[right_], from_[left_]));
+                to_.push_back(from_[right ? right_++ : left_++]);
+            }
+        }
+        from_.swap(to_);
+        to_.clear();
+    }
+    blocks_.clear();
+    keys_ = {};
+    to_ = {};
+    return true;
+}
+
+void putSorted(std::vector<FileEntry>& sorted, std::size_t& kept, FileEntry entry) {
+    sorted.push_back(std::move(entry));
+    const auto last = sorted.size() - 1;
+    auto& e = sorted[last];
+    if (last == 0 || e.name != sorted[kept].name) kept = last;
+    else if (e.isDirectory() && !sorted[kept].isDirectory()) sorted[kept].dropped = true, kept = last;
+    else e.dropped = true;
+}
+
 void sortList(std::vector<FileEntry>& list) {
-    std::vector<std::pair<std::string, std::size_t>> keys(list.size());
-    for (std::size_t i = 0; i < list.size(); ++i) keys[i] = {sortKey(list[i]), i};
-    std::sort(keys.begin(), keys.end());
+    ListSorter sorter;
+    for (const auto& e : list) sorter.add(e);
+    sorter.step(std::numeric_limits<std::size_t>::max());
     std::vector<FileEntry> sorted;
     sorted.reserve(list.size());
-    for (const auto& [key, i] : keys) sorted.push_back(std::move(list[i]));
+    std::size_t kept = 0;
+    for (const auto i : sorter.order()) putSorted(sorted, kept, std::move(list[i]));
     list = std::move(sorted);
-    for (std::size_t i = 1, kept = 0; i < list.size(); ++i) {
-        if (list[i].name != list[kept].name) kept = i;
-        else if (list[i].isDirectory() && !list[kept].isDirectory()) list[kept].dropped = true, kept = i;
-        else list[i].dropped = true;
-    }
 }
 
 std::string faultOfName(std::string_view name) {
--- a/src/wire/rsync/file_list.hpp
+++ b/src/wire/rsync/file_list.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -81,6 +82,26 @@
 // The order by which both sides number the entries (protocol 29 and later): within a directory its files
 // come first, then its directories, each followed by what it holds.
 std::string sortKey(const FileEntry& entry);
+// The places of entries in that order, found in steps of bounded work, so that a long list does not hold up
+// whatever else its thread has to do. Entries that are equal stay in the order they were added in.
+class ListSorter {
+  public:
+    void add(const FileEntry& entry);
+    // Goes on for about so many moves of a key; true once it is done.
+    bool step(std::size_t moves);
+    const std::vector<std::uint32_t>& order() const { return from_; }
+
+  private:
+    // Keys lie one behind the other in blocks: a hundred thousand strings of their own take longer to let go
+    // of than a slice may last.
+    std::deque<std::string> blocks_;
+    std::vector<std::string_view> keys_;
+    std::vector<std::uint32_t> from_, to_;                   // runs of `width_` are sorted
+    std::size_t width_ = 0, at_ = 0, left_ = 0, right_ = 0;  // the next of the two runs that are merged
+};
+// Puts the entry behind those before it in the order, as dropped where its name is among them: a directory
+// wins, else the first.
+void putSorted(std::vector<FileEntry>& sorted, std::size_t& kept, FileEntry entry);
 // Sorts and marks names that come twice as dropped: a directory wins, else the first.
 void sortList(std::vector<FileEntry>& list);
 
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -12,6 +12,7 @@
 #include "fronts/decide_pace.hpp"
 #include "fronts/decide_places.hpp"
 #include "fronts/rsync/decide_deletions.hpp"
+#include "fronts/rsync/listing.hpp"
 #include "host/decide_request.hpp"
 #include "host/memory.hpp"
 #include "host/reminders.hpp"
@@ -256,6 +257,54 @@
     EXPECT_EQ(c.find("maps", "a/b/f"), nullptr);
 }
 
+// Whatever the slice, and though the volume changes between them, the list is that of one go: what was
+// there before and after is in it once.
+TEST(Listing, InSlicesIsTheSameAsInOneGo) {
+    using namespace fronts::rsync;
+    catalogue::Catalogue known;
+    const std::string volume = "v";
+    const auto learn = [&](const std::string& path, catalogue::Kind kind, std::uint64_t version) {
+        catalogue::FileVersion v;
+        v.path = path;
+        v.id = path + std::to_string(version);
+        v.kind = kind;
+        v.version = version;
+        known.learn(volume, v);
+    };
+    for (int i = 0; i < 300; ++i)
+        learn("d" + std::to_string(i % 7) + "/e" + std::to_string(i % 3) + "/f" + std::to_string(i),
+              i % 11 ? catalogue::Kind::File : catalogue::Kind::Gone, 1);
+    learn("d1", catalogue::Kind::Directory, 1);
+    wire::rsync::Filter filter(wire::rsync::Filter::Side::Sender);
+    filter.add("- f*5");
+    const std::vector<std::vector<std::string>> cases = {
+        {"v/"}, {"v/d1", "v/d1/"}, {"v/d*/e1"}, {"v/d2/e2/f2", "v/none", "v/x*"}, {"v/d3/./e0/"}};
+    for (std::size_t c = 0; c < cases.size(); ++c)
+        for (const bool recurse : {true, false}) {
+            wire::rsync::Options options;
+            options.recurse = recurse;
+            options.directories = true;
+            options.relative = c == 4;
+            std::vector<std::string> whole;
+            for (const std::size_t slice : {std::size_t(100000), std::size_t(1), std::size_t(17)}) {
+                std::vector<ModulePath> paths;
+                for (const auto& a : cases[c]) paths.push_back(modulePath(volume, a));
+                ListBuilder builder(known, volume, options, paths, filter, 1000);
+                for (int i = 0; !builder.step(slice); ++i) {
+                    ASSERT_LT(i, 100000);
+                    learn("gone" + std::to_string(i % 50), catalogue::Kind::Gone, 1);  // shows nothing
+                }
+                std::vector<std::string> names;
+                const auto got = builder.take();
+                for (const auto& l : got.files) names.push_back(l.entry.name);
+                for (const auto& f : got.faults) names.push_back(f);
+                if (whole.empty()) whole = names;
+                EXPECT_EQ(names, whole) << "case " << c << " slice " << slice;
+            }
+            EXPECT_FALSE(whole.empty());
+        }
+}
+
 TEST(FileVersion, MetadataAndPiecesComeBack) {
     catalogue::FileVersion v;
     v.path = "a dir/\xc3\xa9&=%";
--- a/tests/gateway/session_model_test.cpp
+++ b/tests/gateway/session_model_test.cpp
@@ -129,6 +129,7 @@
         const auto note = [](const char*, const std::string&, const std::string&) {};
         context.reset(
             new Context{settings, memory, [] { return true; }, note, {}, [this] { return clock; }, after});
+        context->listSlice = 1 + random() % 4;
         agreed.volume = &settings.volumes[0];
         agreed.store = &store;
         agreed.protocol = 31;
@@ -180,19 +181,26 @@
                 timers.erase(timers.begin() + static_cast<long>(i));
                 if (t) (*t)();
             });
+        // A turn of its own that it asked for while it was called; one asked for by an answer counts for
+        // nothing here, since that calls it anyway.
+        if (woken && half->waits() == Waits::Timer && timers.empty()) can.push_back([] {});
         if (can.empty()) return false;
         can[random() % can.size()]();
         return true;
     }
     // Until the half is over. A half is called again only as a session would: after what happened.
     void play() {
-        bool on = half->advance();
+        const auto advance = [this] {
+            woken = false;
+            return half->advance();
+        };
+        bool on = advance();
         for (int i = 0; on; ++i) {
             ASSERT_NE(half->waits(), Waits::Nothing) << "stuck after " << i << " happenings";
             ASSERT_LT(i, 200000) << "does not end; waits for " << nameOf(half->waits());
             ASSERT_TRUE(happen()) << "nothing can happen; waits for " << nameOf(half->waits());
             for (const auto& m : channel.takeBeside()) half->beside(m);
-            on = half->advance();
+            on = advance();
         }
         EXPECT_EQ(half->fault(), "");
         while (!pipe->queue.empty()) happen();
@@ -213,6 +221,7 @@
     Demux demux;
     std::vector<Demux::Beside> beside;
     unsigned failShare = 0;
+    bool woken = false;
     double clock = 0;
     IndexCoder in, out;
 };
@@ -247,7 +256,7 @@
         wire::rsync::ListForm form;
         reader = std::make_unique<ListReader>(form);
         tokens = std::make_unique<TokenReader>(agreed.options.compress);
-        half = std::make_shared<Sending>(*context, agreed, channel, [] {});
+        half = std::make_shared<Sending>(*context, agreed, channel, [this] { woken = true; });
         std::string end;
         putU32(end, 0);
         say(end);
@@ -413,7 +422,7 @@
         for (const auto& e : list) w.put(text, e);
         w.end(text, 0);
         say(text);
-        half = std::make_shared<Receiving>(*context, agreed, channel, [] {});
+        half = std::make_shared<Receiving>(*context, agreed, channel, [this] { woken = true; });
     }
     void hear() override {
         while (step()) {
--- a/tests/wire/rsync_test.cpp
+++ b/tests/wire/rsync_test.cpp
@@ -150,6 +150,31 @@
     EXPECT_TRUE(list[2].dropped);
 }
 
+// Against the library's sort of the whole, for lists around the bounds of runs and steps of any size.
+TEST(RsyncList, SortedInStepsIsSortedInOneGo) {
+    std::mt19937 random(3);
+    for (const std::size_t n : {0, 1, 2, 255, 256, 257, 511, 512, 513, 1300, 3000}) {
+        std::vector<std::pair<std::string, std::uint32_t>> expected;
+        std::vector<FileEntry> list(n);
+        for (std::size_t i = 0; i < n; ++i) {
+            list[i].mode = random() % 5 ? kRegular : kDirectory;
+            for (auto parts = 1 + random() % 3; parts-- > 0;)
+                list[i].name += (list[i].name.empty() ? "" : "/") + std::to_string(random() % 40);
+            expected.emplace_back(sortKey(list[i]), static_cast<std::uint32_t>(i));
+        }
+        std::sort(expected.begin(), expected.end());
+        for (const std::size_t step : {std::size_t(1), std::size_t(97), std::size_t(1) << 40}) {
+            ListSorter sorter;
+            for (const auto& e : list) sorter.add(e);
+            std::size_t steps = 1;
+            while (!sorter.step(step)) ASSERT_LT(++steps, 100 * n + 10);
+            ASSERT_EQ(sorter.order().size(), n);
+            for (std::size_t i = 0; i < n; ++i) ASSERT_EQ(sorter.order()[i], expected[i].second);
+            EXPECT_TRUE(sorter.step(1));  // and stays so
+        }
+    }
+}
+
 TEST(RsyncList, NamesThatLeaveTheVolumeAreRefused) {
     for (const std::string& name :
          std::vector<std::string>{"", "/etc/passwd", "../x", "a/../b", "a//b", "a/", "a/./b",
