--- a/kit/matrix.cpp
+++ b/kit/matrix.cpp
@@ -211,7 +211,8 @@
 bool ruled(const Mix& m) { return has(m, "--exclude") || has(m, "--filter") || has(m, "--include"); }
 
 // Where the subset differs by intent, and how: the exit status that the gateway gives instead.
-// Or the part of the tree that is not compared ("extra": what the source lacks); all else must be the same.
+// Or the part of the tree that is not compared ("extra": what the source lacks; "empty": directories with
+// nothing in them); all else must be the same.
 struct Intent {
     const char* words;
     int status;
@@ -235,6 +236,9 @@
      0, "all", [](const Mix& m) { return !m.push && ruled(m) && (m.filesFrom || !m.relative.empty()); }},
     {"and so they do not count against --max-delete", 0, "all",
      [](const Mix& m) { return m.push && has(m, "--max-delete") && has(m, "--backup-dir"); }},
+    {"-m with --files-from on a download: the stock sender lists a directory twice that is named and lies on "
+     "the way to another name, and its client then keeps it empty; this one lists it once",
+     0, "empty", [](const Mix& m) { return !m.push && m.filesFrom && letter(m, 'm'); }},
     {"which files go before --max-delete is reached, each side orders in its own way", 25, "extra",
      [](const Mix& m) { return m.push && has(m, "--max-delete"); }},
     {"backups of an upload are no part of what --delete looks at (the stock client moves them into "
@@ -393,6 +397,14 @@
     view.times = letter(mix, 't') || letter(mix, 'a');
     view.modes = letter(mix, 'p') || letter(mix, 'a');
     auto wanted = look(at + "/oracle", view, apart), got = look(at + "/got", view, apart);
+    if (apart == "empty")
+        for (auto* tree : {&wanted, &got})
+            for (auto it = tree->rbegin(); it != tree->rend();) {
+                const auto below = tree->upper_bound(it->first + "/");
+                const bool holds = below != tree->end() && below->first.rfind(it->first + "/", 0) == 0;
+                if (it->second != "directory" || holds) ++it;
+                else it = std::make_reverse_iterator(tree->erase(std::next(it).base()));
+            }
     if (apart == "extra")
         for (auto* tree : {&wanted, &got})
             std::erase_if(*tree,
--- a/src/fronts/rsync/listing.cpp
+++ b/src/fronts/rsync/listing.cpp
@@ -97,7 +97,7 @@
     const auto name = p.path.substr(options_.relative ? p.base : p.path.rfind('/') + 1);
     if (options_.relative) parents(p);
     const bool atTop = options_.relative ? name.empty() : inside;
-    directory(p.path, atTop ? "." : name, true, options_.recurse || inside);
+    directory(p.path, atTop ? "." : name, options_.recurse || inside, options_.recurse || inside);
     if (options_.recurse || inside)
         tasks_.push_front({options_.recurse ? What::Tree : What::Level, p, atTop ? "" : name + "/", "", {}});
 }
