Guards of pace and passwords shown: an overdue request never goes out, a wrong password waits

Need: two guards of the rsync work had no test that failed without them.

Change: Patience is tried with a request whose time ends while it waits in line; the second wrong password from an address must be held back for half a second.

The figures of decide_pace still stand without such a proof.

--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -132,6 +132,10 @@
     const auto r = fleet_->rsync({"-rt", "--password-file=" + at("bad"), url, at("down/")});
     EXPECT_NE(r.status, 0);
     EXPECT_NE(r.output.find("auth failed"), std::string::npos) << r.output;
+    // The second from an address is held back for no less than half a second.
+    const auto from = monotonicUs();
+    EXPECT_NE(fleet_->rsync({"-rt", "--password-file=" + at("bad"), url, at("down/")}).status, 0);
+    EXPECT_GE(monotonicUs() - from, 500000);
 }
 
 // A client that refuses what it was sent waits for the server's end; it must come at once, not by a time-out.
--- a/tests/gateway/session_model_test.cpp
+++ b/tests/gateway/session_model_test.cpp
@@ -564,6 +564,24 @@
     }
     EXPECT_TRUE(fine);
     EXPECT_EQ(patience.counters().anew, 3u);
+    // One whose time is over when its turn comes does not go out: its caller has been told, or is now.
+    settings.module.topUnits = 1;
+    std::vector<bool> refused;
+    const auto ask = [&] {
+        store->read(volume, 0, "o/x", 7, 7, "", [&](ReadResult r) { refused.push_back(r.refused); });
+    };
+    inner.refuses = false;
+    std::size_t out = 0;
+    while (ask(), inner.open.size() > out) ASSERT_LT(++out, 1000u);
+    ASSERT_GT(out, 0u);
+    clock += 61000;
+    const auto answer = std::move(inner.open.begin()->second);
+    inner.open.erase(inner.open.begin());
+    answer(true);
+    store->read(volume, 0, "o/x", 7, 7, "", [](ReadResult) {});  // pumps
+    EXPECT_EQ(inner.open.size(), out - 1);
+    if (const auto a = alarm.lock()) (*a)();
+    EXPECT_EQ(refused, (std::vector<bool>{false, true}));
 }
 
 }  // namespace
