--- a/apps/spokewheel.cpp
+++ b/apps/spokewheel.cpp
@@ -1,13 +1,16 @@
 // The command: subcommands for operators. Argument parsing and wiring only.
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <exception>
 #include <filesystem>
+#include <sstream>
 
 #include "config/settings.hpp"
 #include "kit/bad_day.hpp"
+#include "kit/matrix.hpp"
 
 namespace {
 
@@ -49,6 +52,49 @@
     return r.fault.empty() && r.halfFiles == 0 && !spokewheel::kit::anyBroken(r.verdicts) ? 0 : 1;
 }
 
+struct MatrixArguments {
+    std::uint64_t seed = 1;
+    std::size_t rounds = 0, entries = 0;
+    std::string options;
+    bool push = false, filesFrom = false, relative = false, oneMix = false;
+};
+
+int playMatrix(const MatrixArguments& a, const std::string& bin) {
+    namespace kit = spokewheel::kit;
+    umask(022);
+    const auto directory =
+        (std::filesystem::temp_directory_path() / ("spokewheel-matrix-" + std::to_string(getpid()))).string();
+    kit::Fleet fleet(bin, directory);
+    for (int n = 0; n < 3; ++n) fleet.startNode(n, {n, {}});
+    fleet.writeList();
+    kit::HostOptions quiet;
+    quiet.logLevel = "info";
+    fleet.startHost(0, 1, quiet);
+    kit::Matrix matrix(fleet, directory + "/trees");
+    const auto say = [](const std::string& words) {
+        std::printf("%s\n", words.c_str());
+        std::fflush(stdout);
+    };
+    if (a.oneMix) {
+        kit::Mix mix;
+        mix.seed = a.seed;
+        mix.entries = a.entries;
+        mix.push = a.push;
+        mix.filesFrom = a.filesFrom;
+        if (a.relative) mix.relative = "*";
+        std::istringstream parts(a.options);
+        for (std::string o; std::getline(parts, o, '|');) mix.options.push_back(o);
+        bool table = false, hung = false;
+        const auto words = matrix.play(mix, table, hung);
+        say(!words.empty() ? "differs: " + words : table ? "differs as the table says" : "the same");
+        return words.empty() ? 0 : 1;
+    }
+    const auto r = matrix.run(a.seed, a.rounds, say);
+    std::printf("tried %zu: same %zu, different by the table %zu, different %zu, hung %zu\n", r.tried, r.same,
+                r.byTable, r.differences.size(), r.hung);
+    return r.differences.empty() ? 0 : 1;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -65,11 +111,24 @@
     badDay->add_option("script", script, "what happens (YAML; kit/scripts has some)")->required();
     badDay->add_option("--seed", seed);
     badDay->add_option("--rounds", rounds, "how often the script is played")->check(CLI::Range(1, 100));
+    MatrixArguments m;
+    auto* matrix = app.add_subcommand(
+        "matrix", "seeded mixes of the stock client's options against the same client from folder to folder");
+    matrix->add_option("--seed", m.seed);
+    matrix->add_option("--rounds", m.rounds, "how many mixes")
+        ->default_val(200)
+        ->check(CLI::Range(1, 100000));
+    auto* options = matrix->add_option("--options", m.options, "one mix alone: options parted by '|'");
+    matrix->add_option("--entries", m.entries, "of one mix: most entries of the tree")->default_val(24);
+    matrix->add_flag("--push,!--pull", m.push, "of one mix: the way");
+    matrix->add_flag("--files-from", m.filesFrom, "of one mix");
+    matrix->add_flag("--relative", m.relative, "of one mix");
     CLI11_PARSE(app, argc, argv);
-    if (!*badDay) return check(file);
+    m.oneMix = !options->empty();
+    if (*checking) return check(file);
     try {
-        return playBadDay(script, seed, rounds,
-                          std::filesystem::read_symlink("/proc/self/exe").parent_path().string());
+        const auto bin = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+        return *matrix ? playMatrix(m, bin) : playBadDay(script, seed, rounds, bin);
     } catch (const std::exception& e) {
         std::fprintf(stderr, "spokewheel: %s\n", e.what());
         return 1;
--- a/src/fronts/rsync/channel.cpp
+++ b/src/fronts/rsync/channel.cpp
@@ -10,24 +10,51 @@
 
 bool Channel::receive(std::string_view bytes) {
     if (!muxed_) in_ += bytes;
-    else if (!demux_.feed(bytes, in_, beside_)) {
+    else if (stepwise_) {
+        raw_ += bytes;
+        if (!step()) return false;
+    } else if (!demux_.feed(bytes, in_, beside_)) {
         error_ = demux_.error();
         return false;
     }
-    if (!paused_ && in_.size() - at_ > kMostUnread) {
+    if (!paused_ && in_.size() - at_ + raw_.size() > kMostUnread) {
         paused_ = true;
         pipe_->pauseReading();
     }
     return true;
 }
 
+// Whole frames off what waits, until one brought data.
+bool Channel::step() {
+    while (stepwise_ && muxed_ && in_.size() == at_ && raw_.size() >= 4 && error_.empty()) {
+        wire::rsync::Reader r(raw_);
+        const std::size_t n = 4 + (r.u32() & 0xffffff);
+        if (raw_.size() < n) break;
+        if (!demux_.feed(std::string_view(raw_).substr(0, n), in_, beside_)) error_ = demux_.error();
+        raw_.erase(0, n);
+    }
+    return error_.empty();
+}
+
+void Channel::unframe() {
+    muxed_ = false;
+    in_ += std::exchange(raw_, "");
+}
+
+void Channel::reframe() {
+    stepwise_ = false;
+    startMultiplexIn();
+}
+
 void Channel::took(std::size_t n) {
     at_ += n;
+    const bool empty = at_ == in_.size();
     if (at_ == in_.size() || at_ > 256 * 1024) {
         in_.erase(0, at_);
         at_ = 0;
     }
-    if (paused_ && in_.size() - at_ < kMostUnread / 2) {
+    if (empty && stepwise_) step();
+    if (paused_ && in_.size() - at_ + raw_.size() < kMostUnread / 2) {
         paused_ = false;
         pipe_->resumeReading();
     }
@@ -39,7 +66,10 @@
     const std::string rest(input());
     in_.clear();
     at_ = 0;
-    if (!demux_.feed(rest, in_, beside_)) error_ = demux_.error();
+    if (stepwise_) {
+        raw_ = rest;
+        step();
+    } else if (!demux_.feed(rest, in_, beside_)) error_ = demux_.error();
 }
 
 void Channel::raw(std::string_view bytes) { pipe_->write(std::string(bytes)); }
--- a/src/fronts/rsync/channel.hpp
+++ b/src/fronts/rsync/channel.hpp
@@ -23,6 +23,11 @@
     std::string_view input() const { return std::string_view(in_).substr(at_); }
     void took(std::size_t n);
     void startMultiplexIn();
+    // Clients of protocol 30 send the names of --files-from without frames, amid a stream of frames. So that
+    // the frames before end exactly there, they are taken apart one by one, each once the last was used up.
+    void frameByFrame() { stepwise_ = true; }
+    void unframe();
+    void reframe();
     std::vector<wire::rsync::Demux::Beside> takeBeside() { return std::exchange(beside_, {}); }
     const std::string& error() const { return error_; }
 
@@ -42,9 +47,10 @@
     std::shared_ptr<io::Pipe> pipe_;
     wire::rsync::Demux demux_;
     std::vector<wire::rsync::Demux::Beside> beside_;
-    std::string in_, out_, error_;
+    bool step();
+    std::string in_, out_, raw_, error_;
     std::size_t at_ = 0;
-    bool muxed_ = false, framed_ = false, paused_ = false;
+    bool stepwise_ = false, muxed_ = false, framed_ = false, paused_ = false;
 };
 
 }  // namespace spokewheel::fronts::rsync
--- a/src/fronts/rsync/decide_wanted.hpp
+++ b/src/fronts/rsync/decide_wanted.hpp
@@ -3,6 +3,7 @@
 // the stock client has them: size bounds, --existing, --ignore-existing, --update, then the quick check.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
@@ -36,7 +37,7 @@
     if ((o.maxSize && e.size > *o.maxSize) || (o.minSize && e.size < *o.minSize)) return Wanted::Skip;
     if (!shown) return o.existing ? Wanted::Skip : Wanted::Transfer;
     if (o.ignoreExisting) return Wanted::Skip;
-    if (o.update && shown->mtime > e.mtime + (o.modifyWindow > 0 ? o.modifyWindow : 0)) return Wanted::Skip;
+    if (o.update && e.mtime - shown->mtime < std::max(o.modifyWindow, 0)) return Wanted::Skip;
     return sameContent(e, *shown, sum, o) ? Wanted::Same : Wanted::Transfer;
 }
 
--- a/src/fronts/rsync/receiving.cpp
+++ b/src/fronts/rsync/receiving.cpp
@@ -42,13 +42,15 @@
     form.safeEnd = agreed_.flags & kSafeList;
     form.uids = o.uids;
     form.gids = o.gids;
+    form.idNames = !o.numericIds;
     form.links = o.links;
     form.devices = o.devices;
     form.specials = o.specials;
     form.hardLinks = o.hardLinks;
     form.sumBytes = o.checksum ? sizeOf(agreed_.listSums) : 0;
     listReader_ = std::make_unique<ListReader>(form);
-    if (!o.remove) state_ = State::List;
+    // The client sends its rules where something here may need them.
+    if (!o.remove && !o.pruneEmpty) state_ = State::List;
     target_ = modulePath(agreed_.volume->name, o.paths.empty() ? "" : o.paths.back());
     if (!target_.fault.empty()) broken("path " + target_.fault);
     if (o.backupDir.empty()) return;
@@ -234,10 +236,14 @@
         if (!agreed_.options.dryRun) chores_.push_back(std::move(chore));
     }
     state_ = State::Transfer;
-    const auto empty = agreed_.options.pruneEmpty ? emptyDirectories() : std::set<std::string>();
+    if (agreed_.options.pruneEmpty) {
+        const auto empty = emptyDirectories();
+        for (auto& e : list_)
+            if (e.isDirectory() && empty.count(e.name)) e.dropped = true;
+    }
     for (std::size_t i = 0; i < list_.size(); ++i) {
         const auto& e = list_[i];
-        if (e.dropped || (e.isDirectory() && empty.count(e.name))) continue;
+        if (e.dropped) continue;
         if (const auto why = faultOfName(e.name); !why.empty()) tell(e.name, "name " + why);
         else if (!e.isDirectory() && !e.isFile())
             tell(e.name, (e.mode & kTypeMask) == kSymlink ? "symlinks are not stored"
@@ -289,7 +295,7 @@
     const auto& volume = agreed_.volume->name;
     const auto shown = known.find(volume, path);
     if (e.isDirectory()) {
-        if (path.empty() || (!agreed_.options.recurse && !agreed_.options.directories)) return;
+        if (path.empty()) return;
         const bool there = known.isDirectory(volume, path);
         const auto& o = agreed_.options;
         if (!there && o.existing) return;
@@ -318,8 +324,9 @@
             break;
     }
     if (o.removeSource) succeeded(index);
-    const bool times =
-        o.times && !sameTime(e.mtime, e.nsec, shown->mtime, shown->nsec, std::min(o.modifyWindow, 0));
+    // A time within the window is left as it is; where content was compared (-c) it is set to the second.
+    const int window = o.checksum ? 0 : o.modifyWindow;
+    const bool times = o.times && !sameTime(e.mtime, e.nsec, shown->mtime, shown->nsec, window);
     const bool mode = modeFor(e.mode, shown.get(), o) != shown->mode;
     if (!(times || mode) || o.dryRun) return;
     auto chore = std::make_shared<Chore>();
@@ -339,6 +346,8 @@
     if (!context_.complete()) return tell(target_.path, "not all nodes have been read: nothing is deleted");
     std::set<std::string> named, content;
     for (const auto& e : list_) {
+        // One that is there twice is named by the other; one that was pruned is not wanted.
+        if (e.dropped) continue;
         named.insert(pathOf(e));
         if (e.isDirectory() && e.content) content.insert(pathOf(e));
     }
--- a/src/fronts/rsync/sending.cpp
+++ b/src/fronts/rsync/sending.cpp
@@ -166,6 +166,7 @@
             return broken(std::move(why));
         case FilterStep::End:
             state_ = agreed_.options.filesFrom ? State::Names : State::Wait;
+            if (state_ == State::Names && agreed_.protocol < 31) channel_.unframe();
             break;
         case FilterStep::Rule:
             break;
@@ -187,6 +188,7 @@
         names_.push_back(name);
         return true;
     }
+    if (agreed_.protocol < 31) channel_.reframe();
     const auto base = paths_.empty() ? ModulePath() : paths_.front();
     paths_.clear();
     for (const auto& n : names_) {
@@ -237,6 +239,7 @@
     form.safeEnd = agreed_.flags & kSafeList;
     form.uids = o.uids;
     form.gids = o.gids;
+    form.idNames = !o.numericIds;
     form.sumBytes = o.checksum ? sizeOf(agreed_.listSums) : 0;
     listWriter_ = std::make_unique<ListWriter>(form);
     state_ = State::List;
--- a/src/fronts/rsync/session.cpp
+++ b/src/fronts/rsync/session.cpp
@@ -291,6 +291,7 @@
     putU32(out, static_cast<std::uint32_t>(agreed_.seed));
     channel_->raw(out);
     channel_->startMultiplexOut();
+    if (agreed_.protocol < 31 && agreed_.options.filesFrom) channel_->frameByFrame();
     channel_->startMultiplexIn();
     const auto& o = agreed_.options;
     if (optionError_.empty() && !o.sender && agreed_.volume->readOnly)
--- a/src/wire/rsync/file_list.cpp
+++ b/src/wire/rsync/file_list.cpp
@@ -87,7 +87,7 @@
 
 // After the list: number and name of each owner, ended by 0 (and the name of 0 where both sides know that).
 bool ListReader::names(Reader& r) const {
-    for (int i = 0; i < (form_.uids ? 1 : 0) + (form_.gids ? 1 : 0); ++i) {
+    for (int i = 0; form_.idNames && i < (form_.uids ? 1 : 0) + (form_.gids ? 1 : 0); ++i) {
         while (r.enough() && !r.bad() && r.varint() != 0 && r.enough()) r.bytes(r.byte());
         if (form_.idNames0) r.bytes(r.byte());
     }
@@ -181,7 +181,7 @@
         putU16(out, kExtended | kErrorEnd);
         putVarint(out, ioError);
     } else out += '\0';
-    for (int i = 0; i < (form_.uids ? 1 : 0) + (form_.gids ? 1 : 0); ++i) {
+    for (int i = 0; form_.idNames && i < (form_.uids ? 1 : 0) + (form_.gids ? 1 : 0); ++i) {
         putVarint(out, 0);
         if (form_.idNames0) out += '\0';
     }
--- a/src/wire/rsync/file_list.hpp
+++ b/src/wire/rsync/file_list.hpp
@@ -32,7 +32,8 @@
 struct ListForm {
     int protocol = 31;
     bool varintFlags = true, safeEnd = true, uids = false, gids = false, links = false, devices = false,
-         specials = false, hardLinks = false, idNames0 = false;
+         specials = false, hardLinks = false, idNames0 = false,
+         idNames = true;       // names of owners follow the list
     std::size_t sumBytes = 0;  // 0: no checksums in the list
 };
 
--- a/src/wire/rsync/options.cpp
+++ b/src/wire/rsync/options.cpp
@@ -74,10 +74,10 @@
 
 // Options that ask for nothing this side would do otherwise: there are no links, owners, devices or holes
 // here, new content is shown whole whatever the way, and directories on the way exist by what they hold.
-const std::set<std::string_view> kNothingToDo = {
-    "--numeric-ids", "--inplace",      "--mkpath",      "--force",       "--fsync",
-    "--preallocate", "--open-noatime", "--safe-links",  "--use-qsort",   "--copy-unsafe-links",
-    "--super",       "--no-relative",  "--munge-links", "--trust-sender"};
+const std::set<std::string_view> kNothingToDo = {"--inplace",    "--mkpath",      "--force",
+                                                 "--fsync",      "--preallocate", "--open-noatime",
+                                                 "--safe-links", "--use-qsort",   "--copy-unsafe-links",
+                                                 "--super",      "--munge-links", "--trust-sender"};
 
 std::string refusal(std::string_view option) {
     const auto name = option.substr(0, std::min(option.find('='), option.size()));
@@ -149,6 +149,7 @@
                                                          {"--ignore-missing-args", &o.ignoreMissing},
                                                          {"--stats", &o.deleteStats},
                                                          {"--from0", &o.from0},
+                                                         {"--numeric-ids", &o.numericIds},
                                                          {"--existing", &o.existing},
                                                          {"--ignore-existing", &o.ignoreExisting},
                                                          {"--delay-updates", &o.delayUpdates},
@@ -159,6 +160,13 @@
             return;
         }
         if (kNothingToDo.count(a)) return;
+        const std::map<std::string_view, bool*> off = {
+            {"--no-r", &o.recurse},         {"--no-recursive", &o.recurse}, {"--no-R", &o.relative},
+            {"--no-relative", &o.relative}, {"--no-d", &o.directories},     {"--no-dirs", &o.directories}};
+        if (const auto found = off.find(a); found != off.end()) {
+            *found->second = false;
+            return;
+        }
         // These two have their value in the next argument.
         if (a == "--partial-dir" || a == "--backup-dir" || a == "--temp-dir") {
             next_ = a;
@@ -188,7 +196,8 @@
         else if (name == "--modify-window") o.modifyWindow = static_cast<int>(number(-1, 1 << 30));
         else if (name == "--checksum-seed")
             o.checksumSeed = static_cast<std::int32_t>(number(INT32_MIN, INT32_MAX));
-        else if (name == "--compress-level") o.compressLevel = static_cast<int>(number(-1 << 17, 22));
+        else if (name == "--compress-level")
+            o.compressLevel = static_cast<int>(number(-1 << 17, 22)), o.compress = true;
         else if (name == "--bwlimit") o.bytesPerS = static_cast<std::uint64_t>(number(0, 1 << 30)) * 1024;
         else if (name == "--checksum-choice") o.checksumChoice = text;
         else if (name == "--compress-choice") o.compressChoice = text;
--- a/src/wire/rsync/options.hpp
+++ b/src/wire/rsync/options.hpp
@@ -45,7 +45,8 @@
     std::int32_t checksumSeed = 0;
     // What is kept of it.
     bool times = false, omitDirTimes = false, perms = false, executability = false, uids = false,
-         gids = false, links = false, devices = false, specials = false, hardLinks = false;
+         gids = false, links = false, devices = false, specials = false, hardLinks = false,
+         numericIds = false;  // no names of owners follow the list
     // What goes.
     bool remove = false, removeExcluded = false, ignoreErrors = false, removeSource = false,
          deleteStats = false;
