--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -176,6 +176,7 @@
                                    " units: two of the largest requests for each host of the volume");
         out.comment = v.text("comment", false);
         out.readOnly = v.flag("read-only", false);
+        out.connections = static_cast<std::size_t>(v.whole("connections", 0, 0, 10000));
         out.listed = v.flag("listed", true);
         out.secretsFile = beside(file, v.text("secrets-file", false));
         std::string text, fault;
@@ -253,6 +254,9 @@
 
     auto caps = top.section("caps");
     d.connections = static_cast<std::size_t>(caps.whole("connections", 256, 1, 10000));
+    const auto most = static_cast<std::int64_t>(d.connections);
+    d.connectionsByAddress = static_cast<std::size_t>(caps.whole("connections-by-address", most, 1, 10000));
+    d.handshakes = static_cast<std::size_t>(caps.whole("handshakes", 128, 1, 10000));
     d.requests = static_cast<std::size_t>(caps.whole("requests", 500, 1, 20000));
     d.memoryBytes = caps.bytes("memory", 96 << 20, 1 << 20, 64 * kGiB);
     if (d.memoryBytes < d.pieceBytes) caps.complain("memory", "is less than one piece");
@@ -262,6 +266,7 @@
     d.clientIdleS = caps.number("client-idle-s", 60, 1, 86400);
     d.handshakeS = caps.number("handshake-s", 20, 1, 3600);
     d.refusedWaitS = caps.number("refused-wait-s", 600, 0, 86400);
+    d.greetingS = caps.number("greeting-s", 5, 0.1, 3600);
     d.stopS = caps.number("stop-s", 10, 0.1, 3600);
     caps.finish();
 
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -17,6 +17,7 @@
     int hosts = 1;
     std::string secretsFile;                     // empty: no authentication
     std::map<std::string, std::string> secrets;  // user to password, read from the file
+    std::size_t connections = 0;                 // at most at one host; 0: no cap of its own
     bool readOnly = false, listed = true;
 };
 struct PeerSettings {
@@ -34,8 +35,9 @@
     std::string readClass, largeReadClass, writeClass;
     std::uint64_t largeFromBytes = 0, unitBytes = 64 * 1024;
     std::uint64_t pieceBytes = 512 * 1024, memoryBytes = 96 << 20;
-    std::size_t piecesAhead = 8, filesAhead = 32, connections = 256, requests = 500, listEntries = 1000000;
-    double clientIdleS = 60, handshakeS = 20, stopS = 10, refusedWaitS = 600;
+    std::size_t piecesAhead = 8, filesAhead = 32, connections = 256, connectionsByAddress = 0,
+                handshakes = 128, requests = 500, listEntries = 1000000;
+    double clientIdleS = 60, handshakeS = 20, greetingS = 5, stopS = 10, refusedWaitS = 600;
     std::size_t nodeConnections = 64;
     std::string logFile, logLevel = "info";
     const VolumeSettings* volume(const std::string& name) const;
--- a/src/fronts/rsync/server.cpp
+++ b/src/fronts/rsync/server.cpp
@@ -5,35 +5,42 @@
 
 namespace spokewheel::fronts::rsync {
 
-Server::Server(Context& context, const io::Address& at) : context_(context) {
+Server::Server(Context& context, const io::Address& at)
+    : context_(context),
+      places_({context.settings.handshakes, context.settings.connections,
+               context.settings.connectionsByAddress}) {
     listener_ = std::make_unique<io::Listener>(
         at, [this](std::shared_ptr<io::Connection> c) { accept(std::move(c)); });
 }
 Server::~Server() { abort(); }
 
 void Server::accept(std::shared_ptr<io::Connection> connection) {
-    if (sessions_.size() >= context_.settings.connections) {
-        // Told in the protocol's own words, which the client prints; the queue of one line can't block.
-        ++turnedAway_;
-        connection->write("@ERROR: max connections (" + std::to_string(context_.settings.connections) +
-                          ") reached -- try again later\n");
-        connection->shutdownWrite();
-        const auto id = ++next_;
-        auto timer = std::make_shared<io::Timer>();
-        connection->handle({{}, [](std::string_view) {}, {}, [timer](io::Closed) { timer->cancel(); }});
-        timer->arm(500, [connection, timer, id] {
-            (void)id;
-            connection->close();
-        });
-        return;
-    }
     const auto id = ++next_;
-    auto session =
-        std::make_shared<Session>(context_, std::move(connection), "c" + std::to_string(id), [this, id] {
-            sessions_.erase(id);
-            if (sessions_.empty())
-                if (const auto empty = std::exchange(empty_, nullptr)) empty();
-        });
+    const auto address = connection->remoteHost();
+    if (const auto oldest = places_.enter(id, address)) {
+        ++gaveWay_;
+        if (const auto found = sessions_.find(*oldest); found != sessions_.end()) {
+            const auto session = found->second;
+            session->giveWay();
+        } else places_.leave(*oldest);
+    }
+    Doorman doorman;
+    doorman.spoke = [this, id] { places_.spoke(id); };
+    doorman.why = [this, id](const config::VolumeSettings& v) {
+        return places_.why(id, v.name, v.connections);
+    };
+    doorman.sit = [this, id](const config::VolumeSettings& v) {
+        return places_.sit(id, v.name, v.connections);
+    };
+    doorman.wrongPassword = [this, address] { return places_.wrongPassword(address, context_.now()); };
+    auto session = std::make_shared<Session>(context_, std::move(connection), "c" + std::to_string(id),
+                                             std::move(doorman), [this, id] {
+                                                 places_.leave(id);
+                                                 sessions_.erase(id);
+                                                 if (sessions_.empty())
+                                                     if (const auto empty = std::exchange(empty_, nullptr))
+                                                         empty();
+                                             });
     sessions_[id] = session;
     session->start();
 }
--- a/src/fronts/rsync/session.cpp
+++ b/src/fronts/rsync/session.cpp
@@ -54,11 +54,12 @@
 }  // namespace
 
 Session::Session(Context& context, std::shared_ptr<io::Connection> connection, std::string name,
-                 std::function<void()> over)
+                 Doorman doorman, std::function<void()> over)
     : context_(context),
       connection_(std::move(connection)),
       channel_(std::make_unique<Channel>(connection_)),
       name_(std::move(name)),
+      doorman_(std::move(doorman)),
       over_(std::move(over)) {}
 
 void Session::start() {
@@ -103,7 +104,9 @@
             stuckToldAt_ = now;
             context_.note("session_waits", name_, nameOf(half_->waits()));
         }
-        const bool late = shaking ? now - startedAt_ > 1000 * s.handshakeS
+        const double handshakeS =
+            state_ == State::Greeting ? std::min(s.greetingS, s.handshakeS) : s.handshakeS;
+        const bool late = shaking ? now - startedAt_ > 1000 * handshakeS
                                   : now - progressAt_ > 1000 * s.clientIdleS && !(half_ && half_->working());
         if (!late) return watchIdle();
         context_.note("client_idle", name_, shaking ? "in its handshake" : "");
@@ -158,6 +161,7 @@
             agreed_.protocol = std::min(g->protocol, kNewestProtocol);
             digests_ = g->digests.empty() ? std::vector<std::string>{"md5"} : g->digests;
             state_ = State::Module;
+            doorman_.spoke();
             return true;
         }
         case State::Module:
@@ -168,6 +172,8 @@
             if (!takeLine(line, '\n')) return false;
             onAuth(line);
             return true;
+        case State::Penalty:
+            return false;
         case State::Arguments:
             if (!takeLine(line, '\0')) return false;
             argumentBytes_ += line.size() + 1;
@@ -211,6 +217,7 @@
     if (draining_) return error("this host is stopping, try another");
     const auto* v = context_.settings.volume(line);
     if (!v) return error("Unknown module '" + line.substr(0, 64) + "'");
+    if (const auto why = doorman_.why(*v); !why.empty()) return error(why + " -- try again later");
     agreed_.volume = v;
     if (v->secretsFile.empty()) return beginArguments();
     guint8 bytes[24];
@@ -236,7 +243,10 @@
                       digest.empty() ? "no digest in common"
                       : known        ? "wrong password"
                                      : "unknown user");
-        return error("auth failed on module " + agreed_.volume->name);
+        state_ = State::Penalty;
+        keepAlive_.arm(doorman_.wrongPassword(),
+                       [this] { error("auth failed on module " + agreed_.volume->name); });
+        return;
     }
     beginArguments();
 }
@@ -253,6 +263,9 @@
     agreed_.options = std::move(parsed.options);
     optionError_ = parsed.error.empty() ? "" : "not supported: " + parsed.error;
     agreed_.flags = compatFlags(agreed_.options);
+    // From here on it moves data. That the last place went to another meanwhile is told once it can be.
+    if (const auto why = doorman_.sit(*agreed_.volume); !why.empty())
+        optionError_ = why + ", try again later";
     agree();
 }
 
@@ -391,6 +404,11 @@
 
 void Session::abort() { end(); }
 
+void Session::giveWay() {
+    context_.note("gave_way", name_, "the oldest of its address in a full hall");
+    end();
+}
+
 void Session::end() {
     const auto keep = shared_from_this();
     half_.reset();
--- a/src/fronts/rsync/session.hpp
+++ b/src/fronts/rsync/session.hpp
@@ -11,18 +11,27 @@
 
 namespace spokewheel::fronts::rsync {
 
+// What a session asks of those who keep the places.
+struct Doorman {
+    std::function<void()> spoke;
+    // Why there is no place for a client of this volume; empty where there is one. sit() takes it.
+    std::function<std::string(const config::VolumeSettings&)> why, sit;
+    std::function<double()> wrongPassword;  // how long to hold back the answer, in milliseconds
+};
+
 class Session : public std::enable_shared_from_this<Session> {
   public:
-    Session(Context& context, std::shared_ptr<io::Connection> connection, std::string name,
+    Session(Context& context, std::shared_ptr<io::Connection> connection, std::string name, Doorman doorman,
             std::function<void()> over);
     void start();
     // Nothing new is begun: one still in its handshake ends with an error; one that moves files goes on.
     void drain();
     void abort();
+    void giveWay();  // its place in the hall is needed
     const std::string& name() const { return name_; }
 
   private:
-    enum class State { Greeting, Module, Auth, Arguments, Agree, Stream, Closing };
+    enum class State { Greeting, Module, Auth, Penalty, Arguments, Agree, Stream, Closing };
     void onData(std::string_view bytes);
     void advance();
     bool step();
@@ -49,6 +58,7 @@
     std::shared_ptr<io::Connection> connection_;
     std::unique_ptr<Channel> channel_;
     std::string name_;
+    Doorman doorman_;
     std::function<void()> over_;
     State state_ = State::Greeting;
     Agreed agreed_;
--- a/src/io/connection.cpp
+++ b/src/io/connection.cpp
@@ -184,6 +184,19 @@
 bool Connection::readable() const {
     return !socket_ || (g_socket_condition_check(socket_, GIOCondition(G_IO_IN | G_IO_HUP | G_IO_ERR)) != 0);
 }
+std::string Connection::remoteHost() const {
+    std::string out;
+    GSocketAddress* remote = socket_ ? g_socket_get_remote_address(socket_, nullptr) : nullptr;
+    if (!remote) return out;
+    if (G_IS_INET_SOCKET_ADDRESS(remote)) {
+        gchar* text =
+            g_inet_address_to_string(g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(remote)));
+        out = text;
+        g_free(text);
+    }
+    g_object_unref(remote);
+    return out;
+}
 void Connection::shutdownWrite() {
     finish_ = true;
     if (socket_ && queue_.empty()) g_socket_shutdown(socket_, FALSE, TRUE, nullptr);
--- a/src/io/connection.hpp
+++ b/src/io/connection.hpp
@@ -47,6 +47,8 @@
     void write(std::string bytes) override;
     bool backlogged() const override { return queued_ >= kHighWater; }
     std::size_t queued() const { return queued_; }
+    // Address of the other side without its port; empty where it is gone.
+    std::string remoteHost() const;
     // Bytes of the queue that the kernel has taken since the start.
     std::uint64_t wrote() const { return wrote_; }
     void pauseReading() override;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -1,11 +1,15 @@
 // The whole path through sockets: stock rsync clients, spokewheeld processes, stand-in nodes and faults.
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <cstring>
 #include <filesystem>
 #include <random>
+#include <thread>
 
 #include "kit/fleet.hpp"
 #include "kit/rsync_client.hpp"
@@ -130,6 +134,50 @@
     EXPECT_NE(r.output.find("auth failed"), std::string::npos) << r.output;
 }
 
+// From one address, silent or saying half of what they should; a client from another still lists and loads,
+// while ever more of them come.
+TEST_F(Gateway, ThousandsOfHalfSpeakingConnectionsLockNobodyOut) {
+    nodes(1);
+    HostOptions o;
+    o.extra = "caps: {connections: 32, handshakes: 64}\n";
+    fleet_->startHost(0, 1, o);
+    for (int i = 0; i < 20; ++i) make("f" + std::to_string(i), 1000, static_cast<unsigned>(i));
+    ASSERT_EQ(push(0).status, 0);
+    std::vector<int> open;
+    const char* const words[] = {"", "@RSYNCD: 31", "@RSYNCD: 31.0 md5\n", "@RSYNCD: 31.0 md5\nmaps\n",
+                                 "@RSYNCD: 31.0 md5\nmaps\n--server\0--sender\0"};
+    const auto flood = [&](int n) {
+        for (int i = 0; i < n; ++i) {
+            const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            sockaddr_in from{}, to{};
+            from.sin_family = to.sin_family = AF_INET;
+            inet_pton(AF_INET, "127.0.0.2", &from.sin_addr);
+            inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+            to.sin_port = htons(static_cast<std::uint16_t>(fleet_->rsyncPort(0)));
+            if (bind(fd, reinterpret_cast<sockaddr*>(&from), sizeof from) != 0 ||
+                connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
+                close(fd);
+                continue;
+            }
+            const std::string text = words[i % 5];
+            if (!text.empty()) (void)!::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+            open.push_back(fd);
+        }
+    };
+    flood(1000);
+    EXPECT_GT(open.size(), 900u);
+    std::thread more(flood, 1000);
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_TRUE(listed(0, "f7"));
+        const auto r = pull(0, "maps/", "down" + std::to_string(i) + "/");
+        EXPECT_EQ(r.status, 0) << r.output;
+    }
+    more.join();
+    EXPECT_EQ(pull(0).status, 0);
+    EXPECT_EQ(run({"diff", "-r", up(), at("down")}, 10).status, 0);
+    for (const int fd : open) close(fd);
+}
+
 // A request past the store of a limited volume waits, with no other traffic to wake the module by chance.
 TEST_F(Gateway, LimitedVolumeGoesOnWithoutOtherTraffic) {
     nodes(1);
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -10,6 +10,7 @@
 #include "catalogue/decide_winner.hpp"
 #include "config/settings.hpp"
 #include "fronts/decide_pace.hpp"
+#include "fronts/decide_places.hpp"
 #include "fronts/rsync/decide_deletions.hpp"
 #include "host/decide_request.hpp"
 #include "host/memory.hpp"
@@ -151,6 +152,40 @@
     EXPECT_EQ(names(kept), "c b/y a/x ");
 }
 
+TEST(Places, TheOldestOfTheAddressThatCrowdsTheHallGivesWay) {
+    fronts::Places p({3, 2, 1});
+    EXPECT_FALSE(p.enter(1, "a"));
+    EXPECT_FALSE(p.enter(2, "b"));
+    EXPECT_FALSE(p.enter(3, "b"));
+    p.spoke(2);
+    EXPECT_EQ(p.enter(4, "c"), 3u);  // of "b", the one that has been silent for longest
+    p.leave(3);
+    EXPECT_EQ(p.standing(), 3u);
+    EXPECT_EQ(p.sit(1, "maps", 1), "");
+    EXPECT_EQ(p.sit(1, "maps", 1), "");  // once is enough
+    EXPECT_EQ(p.seated(), 1u);
+    EXPECT_NE(p.why(2, "maps", 1).find("module maps"), std::string::npos);
+    EXPECT_EQ(p.why(2, "other", 1), "");
+    EXPECT_FALSE(p.enter(5, "a"));
+    EXPECT_NE(p.sit(5, "other", 0).find("your address"), std::string::npos);
+    EXPECT_EQ(p.sit(2, "other", 0), "");
+    EXPECT_EQ(p.sit(4, "other", 0), "max connections (2) reached");
+    p.leave(1);
+    EXPECT_EQ(p.sit(4, "other", 0), "");
+    for (const auto id : {2, 4, 5}) p.leave(static_cast<std::uint64_t>(id));
+    EXPECT_EQ(p.standing() + p.seated(), 0u);
+}
+
+TEST(Places, WrongPasswordsCostAnAddressEverMore) {
+    fronts::Places p({1, 1, 1});
+    EXPECT_EQ(p.wrongPassword("a", 0), 250);
+    EXPECT_EQ(p.wrongPassword("a", 300), 500);
+    EXPECT_EQ(p.wrongPassword("b", 300), 250);
+    for (int i = 0; i < 20; ++i) EXPECT_LE(p.wrongPassword("a", 400), 8000);
+    EXPECT_EQ(p.wrongPassword("a", 400), 8000);
+    EXPECT_EQ(p.wrongPassword("a", 100000), 250);  // forgotten
+}
+
 TEST(RequestShape, ClassBySizeOfFileUnitsByWhatMoves) {
     host::RequestRules r;
     r.readClass = "view", r.largeReadClass = "export", r.writeClass = "upload";
