Where open requests crowd a host, what is late for its limit goes at once

The probe in dispatch() showed 40 to 80 of 85 open requests waiting for credit, a third to a half of them past their aim. Guards: without crowded() Starved.WhatIsLateGivesItsPlaceWhereRequestsCrowdTheHost fails, without endsAfterAnswer() Connections.WhoAsksHasPlace and PlatformTest.AnswersEndConnectionsWhereTheyRunShort.

--- a/include/spokewheel/scheduler.hpp
+++ b/include/spokewheel/scheduler.hpp
@@ -48,6 +48,7 @@
     bool subscribe = false;  // the node list answers only when asked
     bool mayProbe = false, mayTellPeers = false, mayCancel = false, maySecondCopy = false;
     int maxAttempts = 1;
+    int maxOpen = 0;  // requests that can be open at this host at once; 0: not known
     double maxHoldOffMs = 0, tickMs = 1;
     double coldUnits = 0, coldMs = 0, coldShare = 1, tipMultiple = 1, fallMs = 0;
     double drainGraceMs = 0, answerGraceMs = 0, askWithinMs = 0, settleMs = 0;
--- a/src/fronts/http/decide_connections.hpp
+++ b/src/fronts/http/decide_connections.hpp
@@ -20,9 +20,9 @@
 // A whole request must have come this long after its first byte, and the first byte this long after the
 // connection: a client that can't be read is owed an error or a close within 3 s of connecting.
 constexpr double kWholeRequestMs = 2400;
-// A kept connection without a request. Longer than clients pause under load; a request that crosses the close
-// is sent again by its client, for nothing of it was read.
-constexpr double kIdleMs = 4000;
+// A kept connection without a request: some clients ask once and keep theirs for good. A request that crosses
+// the close is sent again by its client, for nothing of it was read.
+constexpr double kIdleMs = 2050;
 // How long the end of a client that got an error is waited for, so that a reset doesn't eat the error.
 constexpr double kLeaveMs = 500;
 constexpr std::size_t kLeaveBytes = 256 * 1024;
@@ -54,6 +54,14 @@
     return a.since < b.since;
 }
 
+// For requests clients hold at most a third of the descriptors, what idles of theirs counted in: once that is
+// full, requests find no connection. Where the connections come near it, an answer ends its own, so that the
+// place goes to whoever has a request; a new connection costs a client little.
+inline bool endsAfterAnswer(std::size_t connections, std::size_t descriptors) {
+    constexpr double kCrowded = 0.5;  // of the third
+    return static_cast<double>(connections) > kCrowded * static_cast<double>(descriptors) / 3;
+}
+
 // How the descriptors that the process may hold are shared out. What is neither clients' nor nodes' is for
 // the loop, the listener, discovery (two while its address changes), datagrams and the log.
 struct Shares {
--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -27,8 +27,8 @@
 
 }  // namespace
 
-Server::Server(host::Host& host, const Settings& settings, const io::Address& at, std::size_t mostConnections)
-    : host_(host), settings_(settings), most_(mostConnections) {
+Server::Server(host::Host& host, const Settings& settings, const io::Address& at, std::size_t descriptors)
+    : host_(host), settings_(settings), descriptors_(descriptors), most_(sharesOf(descriptors).clients) {
     listener_ = std::make_unique<io::Listener>(
         at, [this](std::shared_ptr<io::Connection> c) { onAccepted(std::move(c)); });
     sweep_.arm(kSweepMs, [this] { sweep(); });
@@ -206,7 +206,7 @@
 
 void Server::answer(const SessionPtr& s, int status, wire::http::Fields fields, const std::string& body,
                     bool last) {
-    last = last || draining_;
+    last = last || draining_ || endsAfterAnswer(sessions_.size(), descriptors_);
     if (last) fields.emplace_back("Connection", "close");
     s->connection->write(wire::http::writeResponse(status, fields, body.size()) + body);
     s->connection->flush();
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -24,8 +24,9 @@
         std::uint64_t connections = 0, requests = 0, errors = 0, gaveWay = 0;
         std::size_t most = 0;
     };
-    // Throws std::runtime_error where it can't listen. `mostConnections` at once; over it one gives way.
-    Server(host::Host& host, const Settings& settings, const io::Address& at, std::size_t mostConnections);
+    // Throws std::runtime_error where it can't listen. `descriptors` is what the process may hold: its
+    // clients' share of them (decide_connections.hpp) bounds the connections; over it one gives way.
+    Server(host::Host& host, const Settings& settings, const io::Address& at, std::size_t descriptors);
     ~Server();
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
@@ -60,7 +61,7 @@
 
     host::Host& host_;
     const Settings& settings_;
-    std::size_t most_;
+    std::size_t descriptors_, most_;
     std::uint64_t nextSession_ = 0;
     std::unordered_map<std::uint64_t, SessionPtr> sessions_;
     std::unordered_set<std::string> openIds_;
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -122,6 +122,9 @@
         c.module = settings::settingsFrom(paths);
         paths.get("ceilings.dial-timeout-ms", c.dialTimeoutMs);
         paths.get("ceilings.conn-idle-ms", c.connIdleMs);
+        // Each open request holds a connection, and clients hold at most a third of the descriptors.
+        const int most = static_cast<int>(std::min<std::size_t>(c.sockets, 3000000) / 3);
+        c.module.maxOpen = c.module.maxOpen > 0 ? std::min(c.module.maxOpen, most) : most;
     } catch (const settings::Fault& fault) {
         file.fail("settings." + fault.path, fault.expected);
     }
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -26,7 +26,6 @@
       configuration_(readConfiguration(file_, environment_)),
       log_("", "info", configuration_.name) {
     const auto& c = configuration_;
-    const auto shares = fronts::http::sharesOf(c.sockets);
     nodes_ = std::make_unique<nodes::NodeClient>(
         nodes::PoolCaps{kMostToANode, kMostToANode, kIdlePart * c.connIdleMs, c.dialTimeoutMs},
         platformDialect(
@@ -49,7 +48,7 @@
             [this](int from, std::string bytes) { host_->onPeer(from, std::move(bytes)); });
     if (c.known.revision >= 0) onEndpoints(c.known, ListForm::Cached);
     follow(c.discovery);
-    server_ = std::make_unique<fronts::http::Server>(*host_, configuration_.module, c.listen, shares.clients);
+    server_ = std::make_unique<fronts::http::Server>(*host_, configuration_.module, c.listen, c.sockets);
     log_.event(Level::Info, "started", {{"listen", c.listen.text()}}, io::nowMs());
     pulseTimer_.arm(kPulseMs, [this] { pulse(); });
 }
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -28,6 +28,7 @@
 constexpr double kListAnswerMs = 4000, kListAgainMs = 700, kListJitter = 1.5;  // of asking for the list
 constexpr double kLendMost = 2;  // times what a host used and holds is lent to it by all together, at most
 constexpr double kGiveUpPart = 0.48;  // of a request's time: one not sent by then is refused
+constexpr double kCrowdedPart = 0.5;  // of the requests that can be open at once
 constexpr double kForgetMs = 30000;   // idle volumes and unheard peers are dropped; parts are full by then
 constexpr double kAsleepMs = 8000;    // without a request a host lends of its own half too
 constexpr std::size_t kGuestsMost = 4096;  // volumes known, beyond which one from a peer's word is not taken
@@ -60,6 +61,7 @@
         for (const auto& event : events) std::visit([this](const auto& e) { on(e); }, event);
         boundary();
         settleCredits();
+        if (crowded()) shedStarved();
         learnFair();
         followList();
         expire();
@@ -186,6 +188,8 @@
             if (v.limited()) split(v);
         shedStarved();
     }
+    // So many requests are open that clients may soon find no place here.
+    bool crowded() const { return set_.maxOpen > 0 && byId_.size() > kCrowdedPart * set_.maxOpen; }
     // Departure: of what waits for credit, what this host's part of the limit can't reach while it is worth
     // being served is refused now, with the time at which it could be, and not held to its end. Should keep a
     // volume beyond its limit from taking the places of all clients; wastes late answers that a lull allows.
@@ -205,7 +209,7 @@
             }
         }
     }
-    double usefulUntil(const Held& q) const { return now_ < q.aimAt ? q.aimAt : giveUpAt(q); }
+    double usefulUntil(const Held& q) const { return now_ < q.aimAt || crowded() ? q.aimAt : giveUpAt(q); }
     // One that was never sent is refused while its client can still go elsewhere.
     double giveUpAt(const Held& q) const {
         return std::max(q.aimAt, q.arrived + kGiveUpPart * (q.deadline - q.arrived));
--- a/src/settings/paths.cpp
+++ b/src/settings/paths.cpp
@@ -99,6 +99,7 @@
     paths.get("ceilings.cancel", s.mayCancel);
     paths.get("ceilings.second-copies", s.maySecondCopy);
     paths.get("ceilings.send-cap", s.maxAttempts);
+    paths.get("ceilings.max-open", s.maxOpen);
     bool holdOff = false;
     paths.get("ceilings.retry-after", holdOff);
     if (holdOff) paths.get("ceilings.max-retry-after-ms", s.maxHoldOffMs);
--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -133,6 +133,41 @@
     ASSERT_TRUE(turn([&] { return disk->requests() == 1; }));
 }
 
+// Guards against connections that asked once and stay: they close after a while, and where connections run
+// short an answer ends its own. One with an open request is never closed for room.
+TEST(Connections, WhoAsksHasPlace) {
+    using namespace fronts::http;
+    Standing idle{Standing::Phase::Idle, 1000}, open{Standing::Phase::Open, 0},
+        silent{Standing::Phase::Silent, 500};
+    EXPECT_EQ(decide(idle, 2900), Do::Keep);  // the platform asks for 2 s at least
+    EXPECT_EQ(decide(idle, 3300), Do::Close);
+    EXPECT_EQ(decide(open, 1e9), Do::Keep);
+    EXPECT_EQ(decide(silent, 500 + 2900), Do::Close);
+    EXPECT_EQ(decide({Standing::Phase::Speaking, 0}, 2900), Do::TellAndClose);
+    EXPECT_TRUE(goesBefore(silent, idle));
+    EXPECT_TRUE(goesBefore({Standing::Phase::Leaving, 3000}, silent));
+    for (const std::size_t all : {256u, 1024u}) {
+        EXPECT_FALSE(endsAfterAnswer(all / 9, all));
+        EXPECT_TRUE(endsAfterAnswer(all / 4, all));
+        const auto shares = sharesOf(all);
+        EXPECT_GE(shares.clients, all / 3 + 16);  // beside the usual clients there are others
+        EXPECT_LE(shares.clients + shares.nodes, all - 16);
+    }
+}
+
+TEST_F(PlatformTest, AnswersEndConnectionsWhereTheyRunShort) {
+    sockets = 90;  // clients hold 30, half of them are 15
+    start();
+    disk->onRequest = [](Taken& t) { t.say(served("x")); };
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < 20; ++i) {
+        clients.push_back(client());
+        clients.back()->say(requestText({.id = "c" + std::to_string(i)}));
+        ASSERT_TRUE(turn([&] { return clients.back()->answered(); }));
+        EXPECT_EQ(clients.back()->got.find("Connection: close") != std::string::npos, i >= 15) << i;
+    }
+}
+
 TEST(StopPlan, AnswersComeBeforeTheKillAndKeptConnectionsAreServedForLong) {
     RequestClass c;
     for (const double deadline : {500.0, 2500.0, 7500.0}) {
--- a/tests/module/limit_test.cpp
+++ b/tests/module/limit_test.cpp
@@ -274,6 +274,34 @@
     EXPECT_GT(host.sent.size(), atOnce);
 }
 
+// Guards against the last places of a host going to what can only be late: where the open requests come near
+// what the host can hold, the aim is the end for what waits for credit, without waiting for a boundary. With
+// room it is held for longer.
+TEST(Starved, WhatIsLateGivesItsPlaceWhereRequestsCrowdTheHost) {
+    for (const int most : {0, 60, 400}) {
+        auto settings = plainSettings();
+        settings.maxOpen = most;
+        Host host(settings);
+        host.step(kStart, {list(fleet())});
+        host.runTo(kStart + 2000);
+        std::vector<Event> reads;  // these fill places and wait for a node that isn't there
+        for (int i = 0; i < 40; ++i) {
+            auto r = request("n" + std::to_string(i), "read", 99);
+            r.volume = 8;
+            reads.push_back(r);
+        }
+        // Late when they come: their clients have tried before.
+        auto first = burst(0, 1, 1), later = burst(1, 60, 1);
+        for (auto& e : later) std::get<Request>(e).ttlMs = 1900;
+        host.step(kStart + 2010, first);
+        host.step(kStart + 2020, reads);
+        host.step(kStart + 2030, later);
+        host.runTo(kStart + 2249);
+        if (most == 60) EXPECT_GE(host.refused.size(), 25u);  // all but what the store holds
+        else EXPECT_EQ(host.refused.size(), 0u);
+    }
+}
+
 // A few beyond the credit at hand are not refused: the limit reaches them in time.
 TEST(Starved, WhatTheLimitReachesInTimeIsHeldAndSent) {
     Host host(plainSettings());
