Client connections are kept with room to spare and while a scheduler stops

A scheduler that was told to stop gets new connections for 0.4 s only; clients go on with those that stay open, and answer() (fronts/http/server.cpp) had closed them: endsAfterAnswer() from half of the clients' third on, idle ones after 2 s. Ruled out: failures of the module (its own count is 20 to 60 a scheduler) and the time to start (20 ms). Change: roomOf() knows plenty (idle for 20 s), short (above half of the third: idle for 2 s) and none (above 0.85: an answer ends its connection); once /ready says 503 there is always room. The stop serves 0.35 s longer (kLastMs 600 -> 250).

--- a/src/fronts/http/decide_connections.hpp
+++ b/src/fronts/http/decide_connections.hpp
@@ -20,16 +20,30 @@
 // A whole request must have come this long after its first byte, and the first byte this long after the
 // connection: a client that can't be read is owed an error or a close within 3 s of connecting.
 constexpr double kWholeRequestMs = 2400;
-// A kept connection without a request: some clients ask once and keep theirs for good. A request that crosses
-// the close is sent again by its client, for nothing of it was read.
-constexpr double kIdleMs = 2050;
+// A kept connection without a request. With room it stays: it is what a client has left where this scheduler
+// is told to stop. Without, it closes as soon as the platform allows: some clients ask once and keep theirs
+// for good. A request that crosses the close is sent again by its client, for nothing of it was read.
+constexpr double kIdleMs = 20000, kIdleShortMs = 2050;
 // How long the end of a client that got an error is waited for, so that a reset doesn't eat the error.
 constexpr double kLeaveMs = 500;
 constexpr std::size_t kLeaveBytes = 256 * 1024;
 
+// For requests clients hold at most a third of the descriptors, what idles of theirs counted in: once that is
+// full, requests find no connection.
+enum class Room {
+    Plenty,
+    Short,  // idle connections give theirs up early
+    None    // each answer ends its connection, so that the place goes to whoever has a request
+};
+inline Room roomOf(std::size_t connections, std::size_t descriptors) {
+    constexpr double kShort = 0.5, kNone = 0.85;  // of the third
+    const double part = 3 * static_cast<double>(connections) / static_cast<double>(descriptors);
+    return part > kNone ? Room::None : part > kShort ? Room::Short : Room::Plenty;
+}
+
 enum class Do { Keep, Close, TellAndClose };
 
-inline Do decide(const Standing& s, double nowMs) {
+inline Do decide(const Standing& s, Room room, double nowMs) {
     const double past = nowMs - s.since;
     switch (s.phase) {
         case Standing::Phase::Open:
@@ -39,7 +53,7 @@
         case Standing::Phase::Silent:
             return past >= kWholeRequestMs ? Do::Close : Do::Keep;
         case Standing::Phase::Idle:
-            return past >= kIdleMs ? Do::Close : Do::Keep;
+            return past >= (room == Room::Plenty ? kIdleMs : kIdleShortMs) ? Do::Close : Do::Keep;
         case Standing::Phase::Leaving:
             return past >= kLeaveMs ? Do::Close : Do::Keep;
     }
@@ -54,14 +68,6 @@
     return a.since < b.since;
 }
 
-// For requests clients hold at most a third of the descriptors, what idles of theirs counted in: once that is
-// full, requests find no connection. Where the connections come near it, an answer ends its own, so that the
-// place goes to whoever has a request; a new connection costs a client little.
-inline bool endsAfterAnswer(std::size_t connections, std::size_t descriptors) {
-    constexpr double kCrowded = 0.5;  // of the third
-    return static_cast<double>(connections) > kCrowded * static_cast<double>(descriptors) / 3;
-}
-
 // How the descriptors that the process may hold are shared out. What is neither clients' nor nodes' is for
 // the loop, the listener, discovery (two while its address changes), datagrams and the log.
 struct Shares {
--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -72,14 +72,17 @@
     close(first);
 }
 
+Room Server::room() const { return ready_ ? roomOf(sessions_.size(), descriptors_) : Room::Plenty; }
+
 void Server::sweep() {
     const double now = io::nowMs();
+    const auto room = this->room();
     std::vector<SessionPtr> over;
     for (const auto& [number, s] : sessions_)
-        if (decide(s->standing, now) != Do::Keep || (draining_ && s->standing.phase == Phase::Idle))
+        if (decide(s->standing, room, now) != Do::Keep || (draining_ && s->standing.phase == Phase::Idle))
             over.push_back(s);
     for (const auto& s : over)
-        if (decide(s->standing, now) == Do::TellAndClose)
+        if (decide(s->standing, room, now) == Do::TellAndClose)
             error(s, 408, "the request did not come whole in time");
         else close(s);
     if (draining_ && drained_) {
@@ -206,7 +209,7 @@
 
 void Server::answer(const SessionPtr& s, int status, wire::http::Fields fields, const std::string& body,
                     bool last) {
-    last = last || draining_ || endsAfterAnswer(sessions_.size(), descriptors_);
+    last = last || draining_ || room() == Room::None;
     if (last) fields.emplace_back("Connection", "close");
     s->connection->write(wire::http::writeResponse(status, fields, body.size()) + body);
     s->connection->flush();
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -31,7 +31,8 @@
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
 
-    // From now on `/ready` answers 503; all else goes on.
+    // From now on `/ready` answers 503 and no connection is closed for room: clients can't make new ones. All
+    // else goes on.
     void unready() { ready_ = false; }
     // From now on answers end their connections and idle ones are closed. `done` comes from the loop once no
     // request is open or half-read.
@@ -56,6 +57,7 @@
     void leave(const SessionPtr& s);
     void close(const SessionPtr& s);
     void enter(Session& s, Standing::Phase phase);
+    Room room() const;
     void makeRoom();
     void sweep();
 
--- a/src/platform/decide_stop.hpp
+++ b/src/platform/decide_stop.hpp
@@ -21,7 +21,7 @@
 inline StopPlan stopPlan(const std::vector<RequestClass>& classes) {
     constexpr double kMostDeadlineMs = 3000, kKillMs = 700, kLeastMs = 700;
     constexpr double kReserveMs = 400;  // between the last answer and the kill: a busy core may be late
-    constexpr double kLastMs = 600;     // what a request that comes last is left with
+    constexpr double kLastMs = 250;     // what a request that comes last is left with
     double longest = 0;
     for (const auto& c : classes) longest = std::max(longest, c.deadlineMs);
     const double killMs = std::min(longest, kMostDeadlineMs) + kKillMs;
