--- /dev/null
+++ b/fuzz/platform_fuzz.cpp
@@ -0,0 +1,65 @@
+// What comes to a scheduler of the platform: heads of clients and disk servers, lists, configurations. Each
+// is read or refused; what is read keeps its bounds.
+#include <cmath>
+#include <cstdlib>
+
+#include "fronts/http/decode_request.hpp"
+#include "fuzz/driver.hpp"
+#include "platform/configuration.hpp"
+#include "platform/dialect.hpp"
+#include "registry/endpoints.hpp"
+
+using namespace spokewheel;
+
+namespace {
+
+Settings settings() {
+    Settings s;
+    s.classes.resize(1);
+    s.classes[0].name = "read";
+    s.plans.resize(1);
+    s.plans[0].name = "open";
+    return s;
+}
+
+void heads(std::string_view text, wire::http::Parser::Kind kind) {
+    static const auto known = settings();
+    static const auto dialect = platform::platformDialect({}, true);
+    wire::http::Parser parser(kind);
+    std::string_view body;
+    if (parser.next(text, body) != wire::http::Parser::Got::Head) return;
+    if (kind == wire::http::Parser::Kind::Response) {
+        const auto read = dialect.read(parser.head());
+        if (!(read.usage >= 0) || !(read.othersGot >= 0) || !std::isfinite(read.usage)) std::abort();
+        if (read.outcome == Outcome::Served && parser.head().status != 200) std::abort();
+        return;
+    }
+    const auto d = fronts::http::decodeRequest(parser.head(), known);
+    if (d.status) {
+        if (d.status < 400 || d.status > 499 || d.words.empty()) std::abort();
+        return;
+    }
+    const auto& w = d.work;
+    if (w.requestClass != "read" || w.plan != "open" || d.id.empty() || !(w.units > 0) || w.shard < -1 ||
+        w.hosts < 1 || w.ttlMs < 0 || !w.exchange || w.exchange->target != parser.head().target)
+        std::abort();
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    const std::string text(reinterpret_cast<const char*>(data), size);
+    heads(text, wire::http::Parser::Kind::Request);
+    heads(text, wire::http::Parser::Kind::Response);
+    registry::Endpoints list;
+    std::string words;
+    if (registry::readEndpoints(text, list, words)) {
+        for (const auto& e : list.entries)
+            if (e.node.empty() || e.shard < -1 || !(e.cameUpMs >= 0)) std::abort();
+    } else if (words.empty()) std::abort();
+    try {
+        platform::parseConfiguration(text, "file", {});
+    } catch (const std::runtime_error&) {
+    }
+    return 0;
+}
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -20,10 +20,12 @@
 
 // Nested JSON to the paths that the simulator's wire uses: "classes.count" and "classes.0.name" for a list of
 // objects, plain values joined by commas for any other list.
-void flatten(const json& value, const std::string& path, settings::Paths::Values& out) {
+void flatten(const json& value, const std::string& path, settings::Paths::Values& out, int depth = 0) {
+    constexpr int kDeepest = 16;
+    if (depth > kDeepest) throw settings::Fault(path.substr(0, 100), "less nesting");
     if (value.is_object()) {
         for (const auto& [key, inner] : value.items())
-            flatten(inner, path.empty() ? key : path + "." + key, out);
+            flatten(inner, path.empty() ? key : path + "." + key, out, depth + 1);
         return;
     }
     if (!value.is_array()) {
@@ -32,7 +34,8 @@
     }
     if (!value.empty() && value.front().is_object()) {
         out[path + ".count"] = std::to_string(value.size());
-        for (std::size_t i = 0; i < value.size(); ++i) flatten(value[i], path + "." + std::to_string(i), out);
+        for (std::size_t i = 0; i < value.size(); ++i)
+            flatten(value[i], path + "." + std::to_string(i), out, depth + 1);
         return;
     }
     std::string joined;
@@ -70,7 +73,11 @@
 Configuration readConfiguration(const std::string& path, const Environment& environment) {
     std::ifstream in(path, std::ios::binary);
     if (!in) throw std::runtime_error(path + ": can't be opened");
-    const std::string bytes{std::istreambuf_iterator<char>(in), {}};
+    return parseConfiguration({std::istreambuf_iterator<char>(in), {}}, path, environment);
+}
+
+Configuration parseConfiguration(const std::string& bytes, const std::string& path,
+                                 const Environment& environment) {
     json root;
     try {
         root = json::parse(bytes);
@@ -101,6 +108,7 @@
         }
     }
     if (const auto limits = root.find("limits"); limits != root.end()) {
+        if (!limits->is_object()) file.fail("limits", "an object");
         const auto sockets = limits->find("sockets");
         if (sockets != limits->end()) {
             if (!sockets->is_number_integer() || sockets->get<std::int64_t>() < 1)
@@ -115,10 +123,10 @@
     }
     const auto found = root.find("settings");
     if (found == root.end() || !found->is_object()) file.fail("settings", "an object");
-    settings::Paths::Values values;
-    flatten(*found, "", values);
-    const settings::Paths paths(std::move(values));
     try {
+        settings::Paths::Values values;
+        flatten(*found, "", values);
+        const settings::Paths paths(std::move(values));
         c.module = settings::settingsFrom(paths);
         paths.get("ceilings.dial-timeout-ms", c.dialTimeoutMs);
         paths.get("ceilings.conn-idle-ms", c.connIdleMs);
--- a/src/platform/configuration.hpp
+++ b/src/platform/configuration.hpp
@@ -29,7 +29,10 @@
     std::string name, listen, discovery;
 };
 
-// Throws std::runtime_error: file, line where there is one, and key.
+// Throws std::runtime_error: file, line where there is one, and key. The second takes the file's text, and is
+// free of I/O.
 Configuration readConfiguration(const std::string& file, const Environment& environment);
+Configuration parseConfiguration(const std::string& text, const std::string& file,
+                                 const Environment& environment);
 
 }  // namespace spokewheel::platform
--- a/src/registry/endpoints.cpp
+++ b/src/registry/endpoints.cpp
@@ -1,5 +1,6 @@
 #include "registry/endpoints.hpp"
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 
 namespace spokewheel::registry {
@@ -14,13 +15,30 @@
     throw std::runtime_error("phase '" + phase + "' is not up, draining or removed");
 }
 
+// Figures are checked before they are cast: a number that doesn't fit is no number.
+std::int64_t whole(const json& value, const char* key, std::int64_t least, std::int64_t most) {
+    if (!value.is_number_integer() || (value.is_number_unsigned() && value.get<std::uint64_t>() > INT64_MAX))
+        throw std::runtime_error(std::string(key) + ": a whole number is wanted");
+    const auto n = value.get<std::int64_t>();
+    if (n < least || n > most) throw std::runtime_error(std::string(key) + " is out of range");
+    return n;
+}
+double figure(const json& member, const char* key, double otherwise) {
+    const auto found = member.find(key);
+    if (found == member.end()) return otherwise;
+    const double n = found->is_number() ? found->get<double>() : -1;
+    if (!(n >= 0 && n < 1e15))
+        throw std::runtime_error(std::string(key) + ": a number of zero or more is wanted");
+    return n;
+}
+
 }  // namespace
 
 bool readEndpoints(std::string_view text, Endpoints& out, std::string& words) {
     try {
         const auto list = json::parse(text);
         Endpoints read;
-        read.revision = list.at("revision").get<std::int64_t>();
+        read.revision = whole(list.at("revision"), "revision", 0, INT64_MAX);
         read.complete = list.at("complete").get<bool>();
         for (const auto& m : list.at("members")) {
             NodeEntry e;
@@ -28,9 +46,10 @@
             if (e.node.empty()) throw std::runtime_error("a member without an id");
             e.lifecycle = lifecycleOf(m.at("phase").get<std::string>());
             e.zone = m.value("locality", std::string());
-            e.shard = m.value("cell", -1);
-            e.sizeHint = m.value("size", 1.0);
-            e.cameUpMs = m.value("up_since_ms", 0.0);
+            if (const auto cell = m.find("cell"); cell != m.end())
+                e.shard = static_cast<int>(whole(*cell, "cell", -1, 1 << 30));
+            e.sizeHint = figure(m, "size", 1);
+            e.cameUpMs = figure(m, "up_since_ms", 0);
             if (e.lifecycle != Lifecycle::Gone) read.addresses[e.node] = m.at("host_port").get<std::string>();
             read.entries.push_back(std::move(e));
         }
--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -155,6 +155,151 @@
     ASSERT_TRUE(turn([&] { return disk->requests() == 1; }));
 }
 
+// Bad requests get a 4xx and their connection ends; nothing goes to a disk server. The good one goes through,
+// so that each refusal is for what was changed.
+TEST_F(PlatformTest, WhatCantBeTakenGetsAnErrorAndGoesNowhere) {
+    start();
+    const auto good = requestText({.id = "good"});
+    std::vector<std::string> bad = {
+        requestText({}),
+        requestText({.path = "/nothing", .klass = "nothing", .id = "a"}),
+        requestText({.path = "/once", .id = "a"}),
+        requestText({.plan = "nothing", .id = "a"}),
+        requestText({.id = "a", .timeout = "soon"}),
+        requestText({.id = "a", .timeout = "-5"}),
+        requestText({.id = "a", .timeout = "99999999999999999999"}),
+        requestText({.id = "a b"}),
+        requestText({.id = "a", .io = "volume=3,units=2,shard=0,hosts=1"}),
+        requestText({.id = "a", .io = "volume=00000003b4d60021,units=nan,shard=0,hosts=1"}),
+        requestText({.id = "a", .io = "volume=00000003b4d60021,units=-2,shard=0,hosts=1"}),
+        requestText({.id = "a", .io = "volume=00000003b4d60021,units=2,shard=0,hosts=0"}),
+        requestText({.id = "a", .io = "volume=00000003b4d60021,units=2,units=3,shard=0,hosts=1"}),
+        requestText({.id = "a", .io = "units=2,shard=0,hosts=1"}),
+        requestText({.id = "a", .key = "short"}),
+        requestText({.id = "a", .body = "a GET with a body"}),
+        requestText({.method = "DELETE", .id = "a"}),
+        "nonsense\r\n\r\n",
+        "GET /read HTTP/1.1\r\nHost: x\r\n folded: y\r\n\r\n",
+        "GET /read HTTP/1.1\r\n" + std::string(20000, 'x') + "\r\n\r\n",
+    };
+    const auto with = [&good](const std::string& line) {
+        return good.substr(0, good.size() - 2) + line + "\r\n\r\n";
+    };
+    bad.push_back(with("Content-Length: -1"));
+    bad.push_back(with("Content-Length: 60000000"));
+    bad.push_back(with("Content-Length: 5\r\nContent-Length: 6"));
+    bad.push_back(with("Content-Length: 5\r\nTransfer-Encoding: chunked"));
+    bad.push_back(with("X-Request-ID: another"));
+    bad.push_back(with("X-Plan: limited"));
+    for (const auto& text : bad) {
+        auto c = client();
+        c->say(text);
+        ASSERT_TRUE(turn([&] { return c->answered() && c->closed; })) << text.substr(0, 300);
+        EXPECT_EQ(c->status() / 100, 4) << text.substr(0, 300);
+    }
+    EXPECT_EQ(disk->requests(), 0u);
+    auto c = client();
+    c->say(good);
+    ASSERT_TRUE(turn([&] { return disk->requests() == 1; }));
+    // Its id is of an open request now: another one with it is an error, and the first goes on.
+    auto d = client();
+    d->say(good);
+    ASSERT_TRUE(turn([&] { return d->answered(); }));
+    EXPECT_EQ(d->status(), 409);
+    disk->last().say(served("x"));
+    ASSERT_TRUE(turn([&] { return c->answered(); }));
+    EXPECT_EQ(c->status(), 200);
+}
+
+// Any split of the bytes, and what comes behind an open request, waits for its turn.
+TEST_F(PlatformTest, RequestsComeInPiecesAndBehindEachOther) {
+    start();
+    disk->onRequest = [](Taken& t) { t.say(served(*t.heads.back().find("X-Request-ID"))); };
+    auto c = client();
+    const auto text =
+        requestText({.method = "PUT", .path = "/once", .klass = "once", .id = "first", .body = "b"}) +
+        requestText({.id = "second"}) + requestText({.id = "third"});
+    for (std::size_t at = 0; at < text.size(); at += 37) {
+        c->say(text.substr(at, 37));
+        g_main_context_iteration(nullptr, FALSE);
+    }
+    ASSERT_TRUE(turn([&] { return c->got.find("third") != std::string::npos; }));
+    EXPECT_LT(c->got.find("first"), c->got.find("second"));
+    EXPECT_EQ(disk->requests(), 3u);
+}
+
+TEST_F(PlatformTest, HalfARequestIsToldOffAndSilenceIsClosed) {
+    start();
+    auto half = client(), silent = client();
+    half->say("GET /read HTTP/1.1\r\nHost: x\r\n");
+    ASSERT_TRUE(turn([&] { return half->closed && silent->closed; }, 4000));
+    EXPECT_EQ(half->status(), 408);
+    EXPECT_TRUE(silent->got.empty());
+}
+
+// Answers that can't be used are failed attempts; good ones with a figure that can't be read are good.
+TEST_F(PlatformTest, SpoiltAnswersFailAndOddFiguresAreGood) {
+    start();
+    const std::vector<std::string> spoilt = {
+        "noise\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + std::string(20000, 'x'),
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + std::string(1000, 'x'),
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "HTTP/1.1 204 No Content\r\n\r\n",
+    };
+    int n = 0;
+    for (const auto& text : spoilt) {
+        disk->onRequest = [&text](Taken& t) { t.say(text); };
+        auto c = client();
+        c->say(requestText(
+            {.method = "PUT", .path = "/once", .klass = "once", .id = "s" + std::to_string(n++)}));
+        ASSERT_TRUE(turn([&] { return c->answered(); })) << text.substr(0, 60);
+        EXPECT_EQ(c->status(), 502) << text.substr(0, 60);
+    }
+    for (const auto* odd :
+         {"X-Volume-Use: lots\r\n", "X-Served-Elsewhere: -3\r\n", "X-Server-Load: ???\r\n"}) {
+        disk->onRequest = [odd](Taken& t) {
+            t.say("HTTP/1.1 102 Wait\r\n\r\n" + served("fine", odd) + "more");
+        };
+        auto c = client();
+        c->say(requestText({.id = "o" + std::to_string(n++)}));
+        ASSERT_TRUE(turn([&] { return c->got.find("fine") != std::string::npos; })) << odd;
+        EXPECT_EQ(c->status(), 200);
+        EXPECT_EQ(c->got.find("more"), std::string::npos);
+    }
+}
+
+TEST(Configuration, FaultsNameFileAndKey) {
+    const auto fault = [](const std::string& text) -> std::string {
+        try {
+            parseConfiguration(text, "config.json", {});
+        } catch (const std::runtime_error& e) {
+            return e.what();
+        }
+        return "";
+    };
+    const std::string at = R"("listen":"127.0.0.1:80","discovery":"127.0.0.1:81")";
+    EXPECT_NE(fault("{\n\n!").find("config.json:3"), std::string::npos);
+    EXPECT_NE(fault("{}").find("'listen'"), std::string::npos);
+    EXPECT_NE(fault("{" + at + "}").find("'settings'"), std::string::npos);
+    EXPECT_NE(fault("{" + at + R"(,"seed":"xyz"})").find("'seed'"), std::string::npos);
+    EXPECT_NE(fault("{" + at + R"(,"peers":["nowhere"]})").find("'peers'"), std::string::npos);
+    EXPECT_NE(fault("{" + at + R"(,"settings":{"tick-ms":"soon"}})").find("'settings.tick-ms'"),
+              std::string::npos);
+    EXPECT_NE(
+        fault("{" + at + R"(,"known":{"revision":1,"complete":true,"members":[{"id":"a","phase":"odd"}]}})")
+            .find("'known'"),
+        std::string::npos);
+    const auto c =
+        parseConfiguration("{" + at + R"(,"limits":{"sockets":300},"settings":{"classes":[{"name":"a"},
+        {"name":"b"}],"domain":{"class-writes":[false,true]},"ceilings":{"max-open":20000}}})",
+                           "f", {});
+    ASSERT_EQ(c.module.classes.size(), 2u);
+    EXPECT_TRUE(c.module.classes[1].writes);
+    EXPECT_EQ(c.module.maxOpen, 100);
+}
+
 // Guards against connections that asked once and stay: they close after a while, and where connections run
 // short an answer ends its own. One with an open request is never closed for room.
 TEST(Connections, WhoAsksHasPlace) {
