One dropped connection with answers in between does not make a node suspect

Seen: 49 to 55% refused at p50 50 ms, 945 of 7,204 attempts lost their connection (pulse, outcome 5), only 2 to 6 links to 8 disk servers. On(Verdict) in policy.cpp took each lost connection for a dead machine: suspect, cold, one request per 300 ms, while the sockets show the others to the same machine answering. Ruled out: disk servers (p50 12 to 50 ms), limits, client connections (235 wanting).

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -27,12 +27,13 @@
 constexpr double kGiftLateMs = 100;  // a gift this much later than its sender's best is dropped
 constexpr double kListAnswerMs = 4000, kListAgainMs = 700, kListJitter = 1.5;  // of asking for the list
 constexpr double kLendMost = 2;  // times what a host used and holds is lent to it by all together, at most
-constexpr double kLostMs = 250, kLostTimes = 8;  // after which a first attempt's answer counts as lost
-constexpr int kKnownFrom = 10;                   // answers from which a node's times are known
-constexpr double kGiveUpPart = 0.48;             // of a request's time: one not sent by then is refused
-constexpr double kCrowdedPart = 0.5;             // of the requests that can be open at once
-constexpr double kForgetMs = 30000;  // idle volumes and unheard peers are dropped; parts are full by then
-constexpr double kAsleepMs = 8000;   // without a request a host lends of its own half too
+constexpr double kLostMs = 250, kLostTimes = 8;         // after which a first attempt's answer counts as lost
+constexpr int kRefusedCounts = 2, kDroppedSuspect = 3;  // connections dropped with no answer in between
+constexpr int kKnownFrom = 10;                          // answers from which a node's times are known
+constexpr double kGiveUpPart = 0.48;  // of a request's time: one not sent by then is refused
+constexpr double kCrowdedPart = 0.5;  // of the requests that can be open at once
+constexpr double kForgetMs = 30000;   // idle volumes and unheard peers are dropped; parts are full by then
+constexpr double kAsleepMs = 8000;    // without a request a host lends of its own half too
 constexpr std::size_t kGuestsMost = 4096;  // volumes known, beyond which one from a peer's word is not taken
 constexpr double kStartPart = 0.25;        // of a guard part: kept back in running, held at a (re)start
 // Nodes kept by one host for all: the shares of a cold node's budget that its keeper and two stand-ins have.
@@ -675,7 +676,10 @@
         const bool answered = was(Outcome::Served, Outcome::ServerError);
         const bool neverRan = was(Outcome::TurnedAway, Outcome::NotSent, Outcome::NoConnection);
         const bool inDoubt = !answered && !neverRan;
-        if (answered || was(Outcome::TurnedAway)) n.unansweredFrom = n.inflight > 0 ? now_ : 1e18;
+        if (answered || was(Outcome::TurnedAway)) {
+            n.unansweredFrom = n.inflight > 0 ? now_ : 1e18;
+            n.dropped = 0;
+        }
         if (was(Outcome::Served)) {
             // A node that dropped connections may have come back cold before the list says so.
             if (n.suspect && s.at >= n.notBefore) {
@@ -689,8 +693,12 @@
             n.window = std::max(kWindowLeast, n.window / 2);
             n.notBefore = std::max(n.notBefore, now_ + kRetryMs);
         } else if (was(Outcome::NoConnection, Outcome::ConnectionLost)) {
-            n.suspect = true;
-            n.notBefore = now_ + kSuspectRetryMs;
+            // A machine that died drops all its connections and takes none; where answers come in between it
+            // was the connection alone.
+            n.dropped += was(Outcome::NoConnection) ? kRefusedCounts : 1;
+            n.suspect = n.suspect || n.dropped >= kDroppedSuspect;
+            if (n.suspect) n.notBefore = now_ + kSuspectRetryMs;
+            else if (was(Outcome::NoConnection)) n.notBefore = std::max(n.notBefore, now_ + kRetryMs);
         }
         if (verdict.usage > 0 && set_.meterMs > 0) {
             const double rate = (verdict.usage - 1) / 100 * q.plan->nominal, was = q.volume->metered;
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -32,7 +32,7 @@
     double coldFrom = -1e18, notBefore = 0, unansweredFrom = 1e18, lastSend = -1e18, narrowedAt = -1e18;
     double window = 0, best = 0, perUnit = 0, ofAim = 0;
     bool suspect = false;
-    int inflight = 0, samples = 0;
+    int inflight = 0, samples = 0, dropped = 0;
     double unitsOut = 0, heat = 0, heatTold = 0, heatToldAt = -1e18;
     UnitLog coldSent, coldDone;
     std::array<std::int64_t, 2> recentKeys = {-1, -1};
