--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -4,8 +4,6 @@
 #include <charconv>
 #include <utility>
 
-#include "nodes/decide_link.hpp"
-
 namespace spokewheel::nodes {
 
 using host::AttemptResult;
@@ -20,6 +18,7 @@
     bool ready = false, retired = false;
     int interim = 0;       // answers before the answer
     double idleSince = 0;  // where it is idle
+    double idled = -1;     // before the exchange that is out; below zero: it is fresh
     io::Timer timer;       // connecting, or idle
 };
 struct NodeClient::Flight {
@@ -126,10 +125,14 @@
         }
     if (const auto i = pickLink(since, io::nowMs(), dialect_.restMs)) {
         const auto link = idle[*i];
-        if (link->connection->readable()) {  // closed, or talking out of turn: known before anything is sent
+        const double idled = io::nowMs() - link->idleSince;
+        const bool distrusted = dialect_.distrustIdle && !trust_.trusted(idled);
+        if (distrusted ||
+            link->connection->readable()) {  // closed, or talking out of turn: known before anything is sent
             drop(link);
             return start(id);
         }
+        link->idled = idled;
         link->flight = id;
         f.link = link;
         return transmit(link);
@@ -261,6 +264,8 @@
     const auto flight = std::move(found->second);
     flights_.erase(found);
     if (const auto link = flight->link) {
+        if (outcome == Outcome::Served || outcome == Outcome::ConnectionLost)
+            trust_.ended(link->idled, outcome == Outcome::ConnectionLost, io::nowMs());
         link->flight = 0;
         link->idleSince = io::nowMs();
         const auto& links = links_[link->node];
--- a/src/nodes/node_client.hpp
+++ b/src/nodes/node_client.hpp
@@ -12,6 +12,7 @@
 
 #include "host/exchange.hpp"
 #include "io/connection.hpp"
+#include "nodes/decide_link.hpp"
 #include "wire/http/message.hpp"
 
 namespace spokewheel::nodes {
@@ -27,7 +28,8 @@
     std::string probeTarget;
     // A request that was not written whole can't have run. Otherwise one of which nothing was written.
     bool runsOnlyWhole = false;
-    double restMs = 0;  // of a connection between two exchanges (decide_link.hpp)
+    double restMs = 0;          // of a connection between two exchanges (decide_link.hpp)
+    bool distrustIdle = false;  // whether it is learned how long a kept one may idle
 };
 // This project's own: node names are addresses, `Spokewheel-*` fields, Repr-Digest.
 Dialect gatewayDialect(std::string sender);
@@ -69,6 +71,7 @@
 
     PoolCaps caps_;
     Dialect dialect_;
+    LinkTrust trust_;
     std::uint64_t nextId_ = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<Flight>> flights_;
     std::map<std::string, std::vector<LinkPtr>> links_;  // by node, idle and in use
--- a/src/platform/dialect.cpp
+++ b/src/platform/dialect.cpp
@@ -50,6 +50,7 @@
     d.probeTarget = probesTellLoad ? "/status/load" : "/health";
     d.runsOnlyWhole = true;
     d.restMs = kRestMs;
+    d.distrustIdle = true;
     return d;
 }
 
--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -270,6 +270,28 @@
     }
 }
 
+// Guards against requests that are lost on connections which the network dropped while they idled. Learned by
+// the time they idled, forgotten once it is over; a network that cuts all alike teaches nothing.
+TEST(LinkTrust, ConnectionsThatIdledTooLongAreNotUsed) {
+    nodes::LinkTrust trust;
+    double now = 1000;
+    for (const double idled : {-1.0, 4.0, 50.0, 500.0, 29000.0}) EXPECT_TRUE(trust.trusted(idled)) << idled;
+    for (int i = 0; i < 60; ++i, now += 10)
+        for (const double idled : {-1.0, 10.0, 60.0, 150.0, 400.0})
+            trust.ended(idled, i % 12 == 0 || (idled > 100 && i % 3 == 0), now);
+    EXPECT_TRUE(trust.trusted(10));
+    EXPECT_TRUE(trust.trusted(60));
+    EXPECT_FALSE(trust.trusted(150));
+    EXPECT_FALSE(trust.trusted(400));
+    now += 60000;
+    trust.ended(-1, false, now);
+    EXPECT_TRUE(trust.trusted(150));
+    nodes::LinkTrust even;
+    for (int i = 0; i < 100; ++i)
+        for (const double idled : {-1.0, 10.0, 400.0}) even.ended(idled, i % 4 == 0, now);
+    EXPECT_TRUE(even.trusted(400));
+}
+
 TEST(Configuration, FaultsNameFileAndKey) {
     const auto fault = [](const std::string& text) -> std::string {
         try {
