--- a/tests/gateway/platform_support.hpp
+++ b/tests/gateway/platform_support.hpp
@@ -184,7 +184,8 @@
     std::string settings = R"({"classes":[
         {"name":"read","effect":"repeatable","deadline-ms":2500.0,"on-time-ms":500.0,"points":2.0},
         {"name":"once","effect":"once","deadline-ms":2500.0,"on-time-ms":500.0,"points":3.0}],
-        "contracts":[{"name":"open","limit":0.0,"limit-burst":0.0,"nominal":10.0,"reservation":5.0,"shares":1.0},
+        "contracts":[{"name":"open","limit":0.0,"limit-burst":0.0,"nominal":10.0,"reservation":5.0,
+        "shares":1.0},
         {"name":"limited","limit":2.0,"limit-burst":4.0,"nominal":3.0,"reservation":1.0,"shares":1.0}],
         "ceilings":{"send-cap":3,"dial-timeout-ms":250.0,"conn-idle-ms":30000.0,"retry-after":true,
         "max-retry-after-ms":1000.0,"peers":true},
