Budgets of a scheduler stand in one decision file; connections to disk servers are bounded

The third of the descriptors that clients hold stood in decide_connections.hpp and in configuration.cpp, the pool's figures in platform_daemon.cpp, outside a decision file; and the disk servers' share of the descriptors (sharesOf) was used by a test alone, so that the pool had no bound over all nodes. Change: src/platform/decide_budget.hpp holds them; PoolCaps.total bounds the pool: the connection idle for longest gives way, with none idle the attempt ends as NotSent, which is no word against the node. Guard: without the cap Pool.ConnectionsToAllNodesTogetherAreBounded fails.

--- a/src/fronts/http/decide_connections.hpp
+++ b/src/fronts/http/decide_connections.hpp
@@ -30,6 +30,7 @@
 
 // For requests clients hold at most a third of the descriptors, what idles of theirs counted in: once that is
 // full, requests find no connection.
+inline std::size_t heldForRequests(std::size_t descriptors) { return descriptors / 3; }
 enum class Room {
     Plenty,
     Short,  // idle connections give theirs up early
@@ -37,7 +38,7 @@
 };
 inline Room roomOf(std::size_t connections, std::size_t descriptors) {
     constexpr double kShort = 0.5, kNone = 0.85;  // of the third
-    const double part = 3 * static_cast<double>(connections) / static_cast<double>(descriptors);
+    const double part = static_cast<double>(connections) / static_cast<double>(heldForRequests(descriptors));
     return part > kNone ? Room::None : part > kShort ? Room::Short : Room::Plenty;
 }
 
@@ -68,8 +69,8 @@
     return a.since < b.since;
 }
 
-// How the descriptors that the process may hold are shared out. What is neither clients' nor nodes' is for
-// the loop, the listener, discovery (two while its address changes), datagrams and the log.
+// How the descriptors that the process may hold are shared out, both as bounds. What is neither clients' nor
+// nodes' is for the loop, the listener, discovery (two while its address changes), datagrams and the log.
 struct Shares {
     std::size_t clients = 0, nodes = 0;
 };
--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -144,11 +144,16 @@
         f.later.arm(0, [this, id] { end(id, Outcome::NoConnection, false); });
         return;
     }
+    if (connections() >= caps_.total && !makeRoom()) {
+        if (links.empty()) links_.erase(f.node);
+        f.later.arm(0, [this, id] { end(id, Outcome::NotSent, false); });
+        return;
+    }
     auto link = std::make_shared<Link>();
     link->node = f.node;
     link->flight = id;
     link->connection = io::Connection::dial(address);
-    links.push_back(link);
+    links_[f.node].push_back(link);  // making room may have moved the node's list
     f.link = link;
     if (!link->connection->open()) {
         f.later.arm(0, [this, id] { end(id, Outcome::NoConnection, false); });
@@ -171,6 +176,15 @@
     });
 }
 
+bool NodeClient::makeRoom() {
+    LinkPtr first;
+    for (const auto& [node, links] : links_)
+        for (const auto& link : links)
+            if (!link->flight && (!first || link->idleSince < first->idleSince)) first = link;
+    if (first) drop(first);
+    return first != nullptr;
+}
+
 void NodeClient::onConnected(const LinkPtr& link) {
     link->ready = true;
     link->timer.cancel();
--- a/src/nodes/node_client.hpp
+++ b/src/nodes/node_client.hpp
@@ -39,6 +39,7 @@
     std::size_t idle = 32;  // kept of them
     double idleMs = 15000;  // a kept connection is closed after this
     double connectMs = 250;
+    std::size_t total = 1 << 20;  // connections to all nodes; at it the one idle for longest gives way
     std::uint64_t buffered = std::uint64_t(1) << 30;  // bytes of answers that are on their way, all together
 };
 
@@ -68,6 +69,7 @@
     void onClosed(const LinkPtr& link, io::Closed why);
     void end(std::uint64_t id, Outcome outcome, bool keepLink);
     void drop(const LinkPtr& link);
+    bool makeRoom();  // false where each connection is in use
     bool mayHaveRun(const Link& link) const;
 
     PoolCaps caps_;
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "platform/decide_budget.hpp"
 #include "settings/paths.hpp"
 
 namespace spokewheel::platform {
@@ -136,9 +137,7 @@
         c.module = settings::settingsFrom(paths);
         paths.get("ceilings.dial-timeout-ms", c.dialTimeoutMs);
         paths.get("ceilings.conn-idle-ms", c.connIdleMs);
-        // Each open request holds a connection, and clients hold at most a third of the descriptors.
-        const int most = static_cast<int>(std::min<std::size_t>(c.sockets, 3000000) / 3);
-        c.module.maxOpen = c.module.maxOpen > 0 ? std::min(c.module.maxOpen, most) : most;
+        c.module.maxOpen = mostOpen(c.sockets, c.module.maxOpen);
     } catch (const settings::Fault& fault) {
         file.fail("settings." + fault.path, fault.expected);
     }
--- /dev/null
+++ b/src/platform/decide_budget.hpp
@@ -0,0 +1,34 @@
+// What a scheduler allows itself of its machine's limits. Free of I/O and clocks.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+#include "fronts/http/decide_connections.hpp"
+#include "nodes/node_client.hpp"
+
+namespace spokewheel::platform {
+
+// Connections to disk servers: to one of them the module's windows bound them, this is a bound on a mistake;
+// all together have their share of the descriptors. Kept ones close some time before the disk server would.
+// Answers on their way have a quarter of the memory.
+inline nodes::PoolCaps poolCaps(std::size_t sockets, std::size_t memoryMb, double connIdleMs,
+                                double dialTimeoutMs) {
+    constexpr std::size_t kMostToOne = 64;
+    constexpr double kIdlePart = 0.8;
+    nodes::PoolCaps caps;
+    caps.open = caps.idle = kMostToOne;
+    caps.total = fronts::http::sharesOf(sockets).nodes;
+    caps.idleMs = kIdlePart * connIdleMs;
+    caps.connectMs = dialTimeoutMs;
+    caps.buffered = memoryMb * 1024 * 1024 / 4;
+    return caps;
+}
+
+// Requests that can be open at once: each holds a connection. `told` is what the settings say; 0: nothing.
+inline int mostOpen(std::size_t sockets, int told) {
+    const int held = static_cast<int>(std::min<std::size_t>(fronts::http::heldForRequests(sockets), 1000000));
+    return told > 0 ? std::min(told, held) : held;
+}
+
+}  // namespace spokewheel::platform
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -3,6 +3,7 @@
 #include <limits>
 #include <utility>
 
+#include "platform/decide_budget.hpp"
 #include "platform/decide_stop.hpp"
 #include "platform/dialect.hpp"
 
@@ -13,9 +14,6 @@
 namespace {
 
 constexpr double kPulseMs = 10000;
-// Connections to one node are bounded by the module's windows; this is a bound on a mistake.
-constexpr std::size_t kMostToANode = 64;
-constexpr double kIdlePart = 0.8;  // of the time after which a disk server closes what idles
 
 }  // namespace
 
@@ -27,8 +25,7 @@
       log_("", "info", configuration_.name) {
     const auto& c = configuration_;
     nodes_ = std::make_unique<nodes::NodeClient>(
-        nodes::PoolCaps{kMostToANode, kMostToANode, kIdlePart * c.connIdleMs, c.dialTimeoutMs,
-                        c.memoryMb * 1024 * 1024 / 4},
+        poolCaps(c.sockets, c.memoryMb, c.connIdleMs, c.dialTimeoutMs),
         platformDialect(
             [this](const std::string& node, io::Address& out) {
                 const auto found = addresses_.find(node);
--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -282,6 +282,34 @@
     }
 }
 
+// Guards against running out of descriptors: at the cap an idle connection to another node gives way, and
+// with none idle nothing is sent, which proves nothing against the node.
+TEST(Pool, ConnectionsToAllNodesTogetherAreBounded) {
+    Server a, b, c;
+    nodes::PoolCaps caps;
+    caps.total = 2;
+    nodes::NodeClient pool(caps, nodes::gatewayDialect(""));
+    std::vector<Outcome> ended;
+    const auto send = [&](const Server& to) {
+        auto x = std::make_shared<host::Exchange>();
+        x->target = "/";
+        pool.send(to.address(), x, {}, 2000, [&](host::AttemptResult r) { ended.push_back(r.outcome); });
+    };
+    send(a);
+    send(b);
+    ASSERT_TRUE(turn([&] { return a.requests() + b.requests() == 2; }));
+    send(c);
+    ASSERT_TRUE(turn([&] { return ended.size() == 1; }));
+    EXPECT_EQ(ended[0], Outcome::NotSent);
+    EXPECT_EQ(c.taken.size(), 0u);
+    b.last().say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(turn([&] { return ended.size() == 2; }));
+    send(c);
+    ASSERT_TRUE(turn([&] { return c.requests() == 1; }));
+    ASSERT_TRUE(turn([&] { return b.last().closed; }));
+    EXPECT_EQ(pool.connections(), 2u);
+}
+
 // Guards against requests that are lost on connections which the network dropped while they idled. Learned by
 // the time they idled, forgotten once it is over; a network that cuts all alike teaches nothing.
 TEST(LinkTrust, ConnectionsThatIdledTooLongAreNotUsed) {
