--- a/apps/spokewheeld.cpp
+++ b/apps/spokewheeld.cpp
@@ -1,24 +1,60 @@
-// The daemon: one gateway host. Argument parsing and wiring only.
+// The daemon: one gateway host, or one scheduler of the platform. Argument parsing and wiring only.
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 
 #include "config/settings.hpp"
 #include "daemon/daemon.hpp"
+#include "platform/platform_daemon.hpp"
+
+namespace {
+
+std::string fromEnvironment(const char* name) {
+    const char* value = std::getenv(name);
+    return value ? value : "";
+}
+
+int runPlatform() {
+    spokewheel::io::Loop loop;
+    spokewheel::platform::PlatformDaemon daemon(
+        fromEnvironment("LB_CONFIG"),
+        {fromEnvironment("LB_NAME"), fromEnvironment("LB_LISTEN"), fromEnvironment("LB_DISCOVERY")}, loop);
+    loop.onSignal(SIGTERM, [&daemon] { daemon.stop(); });
+    loop.onSignal(SIGINT, [&daemon] { daemon.stop(); });
+    loop.onSignal(SIGHUP, [&daemon] { daemon.reload(); });
+    loop.run();
+    return 0;
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
     CLI::App app{"spokewheeld: a storage gateway host"};
     std::string file;
-    app.add_option("--config", file, "settings (YAML)")->required();
+    bool platform = false;
+    auto* config = app.add_option("--config", file, "settings (YAML)");
+    app.add_flag("--platform", platform, "a scheduler of the platform, told what it is by LB_CONFIG")
+        ->excludes(config);
     app.set_version_flag("--version", SPOKEWHEEL_VERSION);
     CLI11_PARSE(app, argc, argv);
 
+    std::signal(SIGPIPE, SIG_IGN);
+    if (platform) try {
+            return runPlatform();
+        } catch (const std::exception& e) {
+            std::fprintf(stderr, "spokewheeld: %s\n", e.what());
+            return 1;
+        }
+    if (file.empty()) {
+        std::fprintf(stderr, "spokewheeld: --config FILE or --platform is wanted\n");
+        return 2;
+    }
     spokewheel::config::Mistakes mistakes;
     auto settings = spokewheel::config::readSettings(file, mistakes);
     for (const auto& m : mistakes) std::fprintf(stderr, "%s\n", m.text().c_str());
     if (!mistakes.empty()) return 2;
-    std::signal(SIGPIPE, SIG_IGN);
     try {
         spokewheel::io::Loop loop;
         spokewheel::Daemon daemon(std::move(settings), loop);
--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -7,6 +7,7 @@
 find_package(yaml-cpp REQUIRED)
 find_package(spdlog REQUIRED)
 find_package(CLI11 REQUIRED)
+find_package(nlohmann_json REQUIRED)
 
 # A layer sees its own headers, those of the layers it links, and nothing else of src/: each include path is
 # a folder that holds links to just these.
@@ -43,9 +44,10 @@
   SOURCES src/catalogue/file_version.cpp src/catalogue/catalogue.cpp LINKS sw_wire_http PkgConfig::XXHASH)
 spokewheel_layer(nodes DIRS src/nodes SOURCES src/nodes/node_client.cpp src/nodes/feed.cpp
   LINKS sw_host sw_catalogue sw_wire_http)
-spokewheel_layer(registry DIRS src/registry SOURCES src/registry/list_file.cpp src/registry/list_http.cpp
-  LINKS sw_config sw_io sw_wire_http)
-spokewheel_layer(peers DIRS src/peers SOURCES src/peers/peer_link.cpp LINKS sw_wire_peer sw_io)
+spokewheel_layer(registry DIRS src/registry
+  SOURCES src/registry/list_file.cpp src/registry/list_http.cpp src/registry/endpoints.cpp src/registry/watch_http.cpp
+  LINKS sw_config sw_io sw_wire_http nlohmann_json::nlohmann_json)
+spokewheel_layer(peers DIRS src/peers SOURCES src/peers/peer_link.cpp src/peers/plain_link.cpp LINKS sw_wire_peer sw_io)
 spokewheel_layer(fronts DIRS src/fronts
   SOURCES src/fronts/store.cpp src/fronts/patience.cpp src/fronts/rsync/channel.cpp src/fronts/rsync/listing.cpp
           src/fronts/rsync/sending.cpp src/fronts/rsync/receiving.cpp src/fronts/rsync/basis.cpp
@@ -53,6 +55,12 @@
   LINKS sw_host sw_catalogue sw_config sw_wire_rsync sw_wire_http)
 spokewheel_layer(daemon DIRS src/daemon SOURCES src/daemon/daemon.cpp
   LINKS sw_fronts sw_nodes sw_registry sw_peers sw_log)
+# The platform's front names neither rsync nor the catalogue: a layer of its own, though its folder lies beside them.
+spokewheel_layer(fronts_http DIRS src/fronts/http SOURCES src/fronts/http/decode_request.cpp src/fronts/http/server.cpp
+  LINKS sw_host sw_wire_http)
+spokewheel_layer(platform DIRS src/platform
+  SOURCES src/platform/configuration.cpp src/platform/dialect.cpp src/platform/platform_daemon.cpp
+  LINKS sw_fronts_http sw_nodes sw_registry sw_peers sw_log spokewheel_settings nlohmann_json::nlohmann_json)
 spokewheel_layer(standins DIRS standins SOURCES standins/http_server.cpp standins/storage_node.cpp standins/meter.cpp standins/registry.cpp
   LINKS sw_wire_http sw_io)
 
@@ -63,7 +71,7 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
   install(TARGETS ${name} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
 endfunction()
-spokewheel_program(spokewheeld apps/spokewheeld.cpp sw_daemon)
+spokewheel_program(spokewheeld apps/spokewheeld.cpp sw_daemon sw_platform)
 spokewheel_layer(kit DIRS kit
   SOURCES kit/process.cpp kit/fleet.cpp kit/judge.cpp kit/rsync_client.cpp kit/bad_day.cpp kit/script.cpp kit/matrix.cpp
   LINKS sw_wire_rsync sw_config)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -47,7 +47,8 @@
       loop_(loop),
       log_(settings_.logFile, settings_.logLevel, std::to_string(settings_.module.rank)),
       memory_(settings_.memoryBytes),
-      nodes_({settings_.nodeConnections, 32, 15000, 250}, std::to_string(settings_.module.rank)) {
+      nodes_({settings_.nodeConnections, 32, 15000, 250},
+             nodes::gatewayDialect(std::to_string(settings_.module.rank))) {
     const auto incarnation = nextIncarnation(settings_.stateDir);
     const std::uint64_t seed = incarnation * 0x9e3779b97f4a7c15ULL ^ g_random_int();
     host::Host::Edges edges;
--- /dev/null
+++ b/src/fronts/http/server.hpp
@@ -0,0 +1,74 @@
+// Clients of the platform over HTTP/1.1: one request at a time on a connection, each handed to the host and
+// answered with what came back. Single-threaded; nothing blocks. Nothing here refuses a well-formed request.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "fronts/http/decide_connections.hpp"
+#include "fronts/http/decode_request.hpp"
+#include "host/host.hpp"
+#include "io/connection.hpp"
+#include "io/loop.hpp"
+
+namespace spokewheel::fronts::http {
+
+class Server {
+  public:
+    // Counters that other parts print; none of them decides anything.
+    struct Counts {
+        std::uint64_t connections = 0, requests = 0, errors = 0, gaveWay = 0;
+        std::size_t most = 0;
+    };
+    // Throws std::runtime_error where it can't listen. `mostConnections` at once; over it one gives way.
+    Server(host::Host& host, const Settings& settings, const io::Address& at, std::size_t mostConnections);
+    ~Server();
+    Server(const Server&) = delete;
+    Server& operator=(const Server&) = delete;
+
+    // From now on `/ready` answers 503, answers end their connections, idle ones are closed. `done` comes
+    // from the loop once `leastMs` have passed and no request is open or half-read.
+    void drain(double leastMs, std::function<void()> done);
+    const Counts& counts() const { return counts_; }
+    std::size_t connections() const { return sessions_.size(); }
+    int port() const { return listener_->port(); }
+
+  private:
+    struct Session;
+    using SessionPtr = std::shared_ptr<Session>;
+    void onAccepted(std::shared_ptr<io::Connection> connection);
+    void onData(const SessionPtr& s, std::string_view bytes);
+    void onClosed(const SessionPtr& s);
+    void parse(const SessionPtr& s, std::string_view bytes);
+    bool onHead(const SessionPtr& s);
+    void onWhole(const SessionPtr& s);
+    void onAnswer(const SessionPtr& s, host::Answer answer);
+    void answer(const SessionPtr& s, int status, wire::http::Fields fields, const std::string& body,
+                bool last);
+    void error(const SessionPtr& s, int status, const std::string& words);
+    void leave(const SessionPtr& s);
+    void close(const SessionPtr& s);
+    void enter(Session& s, Standing::Phase phase);
+    void makeRoom();
+    void sweep();
+
+    host::Host& host_;
+    const Settings& settings_;
+    std::size_t most_;
+    std::uint64_t nextSession_ = 0;
+    std::unordered_map<std::uint64_t, SessionPtr> sessions_;
+    std::unordered_set<std::string> openIds_;
+    bool draining_ = false;
+    double drainUntil_ = 0;
+    std::function<void()> drained_;
+    Counts counts_;
+    io::Timer sweep_;
+    std::unique_ptr<io::Listener> listener_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace spokewheel::fronts::http
--- a/src/host/host.hpp
+++ b/src/host/host.hpp
@@ -22,8 +22,9 @@
     std::string requestClass, plan;
     std::int64_t key = -1, volume = 0;
     double ttlMs = 0, units = 1;
-    int shard = -1;  // where the data lies; -1: a new object
-    int hosts = 1;   // through which the volume works
+    double arrivedMs = 0;  // on io::nowMs(); 0: now. The time to live counts from here
+    int shard = -1;        // where the data lies; -1: a new object
+    int hosts = 1;         // through which the volume works
     std::shared_ptr<const Exchange> exchange;
 };
 
--- a/src/io/connection.cpp
+++ b/src/io/connection.cpp
@@ -24,6 +24,13 @@
     return g_inet_socket_address_new_from_string(a.host.c_str(), static_cast<guint>(a.port));
 }
 
+Address addressOf(GInetSocketAddress* address) {
+    gchar* text = g_inet_address_to_string(g_inet_socket_address_get_address(address));
+    Address out{text, g_inet_socket_address_get_port(address)};
+    g_free(text);
+    return out;
+}
+
 GSocket* bound(const Address& at, GSocketType type, GSocketProtocol protocol) {
     ErrorHolder error;
     const auto family = at.host.find(':') == std::string::npos ? G_SOCKET_FAMILY_IPV4 : G_SOCKET_FAMILY_IPV6;
@@ -44,21 +51,39 @@
 
 }  // namespace
 
-bool parseAddress(const std::string& text, Address& out, bool anyPort) {
+namespace {
+
+// The address in `text`, to be let go of; nullptr where it has none.
+GInetAddress* numeric(const std::string& text, Address& a, bool anyPort) {
     const auto colon = text.rfind(':');
-    if (colon == std::string::npos) return false;
-    Address a{text.substr(0, colon), 0};
+    if (colon == std::string::npos) return nullptr;
+    a = {text.substr(0, colon), 0};
     if (a.host.size() > 2 && a.host.front() == '[' && a.host.back() == ']')
         a.host = a.host.substr(1, a.host.size() - 2);
     const char *first = text.data() + colon + 1, *last = text.data() + text.size();
     const auto [end, error] = std::from_chars(first, last, a.port);
-    if (error != std::errc() || end != last || a.port < (anyPort ? 0 : 1) || a.port > 65535) return false;
-    GInetAddress* inet = g_inet_address_new_from_string(a.host.c_str());
+    if (error != std::errc() || end != last || a.port < (anyPort ? 0 : 1) || a.port > 65535) return nullptr;
+    return g_inet_address_new_from_string(a.host.c_str());
+}
+
+}  // namespace
+
+bool parseAddress(const std::string& text, Address& out, bool anyPort) {
+    Address a;
+    GInetAddress* inet = numeric(text, a, anyPort);
     const bool loopback = inet && g_inet_address_get_is_loopback(inet);
     if (inet) g_object_unref(inet);
     if (loopback) out = a;
     return loopback;
 }
+bool parseNumericAddress(const std::string& text, Address& out) {
+    Address a;
+    GInetAddress* inet = numeric(text, a, false);
+    if (!inet) return false;
+    g_object_unref(inet);
+    out = a;
+    return true;
+}
 
 std::shared_ptr<Connection> Connection::dial(const Address& to) {
     ErrorHolder error;
@@ -139,28 +164,45 @@
         if (handler_.connected) handler_.connected();
         if (!socket_) return false;
     }
+    const bool was = queued_ >= kHighWater / 2;
+    if (!sendSome(&error.e)) {
+        if (error.wouldBlock()) {
+            if (was && queued_ < kHighWater / 2 && handler_.drained) handler_.drained();
+            return static_cast<bool>(out_);
+        }
+        fail(Closed::Reset);
+        return false;
+    }
+    if (was && handler_.drained) {
+        handler_.drained();
+        if (!socket_ || !queue_.empty()) return static_cast<bool>(out_);
+    }
+    out_.reset();
+    if (finish_) g_socket_shutdown(socket_, FALSE, TRUE, nullptr);
+    return false;
+}
+
+// False where the kernel takes no more, or with an error.
+bool Connection::sendSome(GError** error) {
     while (!queue_.empty()) {
         auto& front = queue_.front();
         const gssize n =
-            g_socket_send(socket_, front.data() + offset_, front.size() - offset_, nullptr, &error.e);
-        if (n < 0) {
-            if (error.wouldBlock()) return true;
-            fail(Closed::Reset);
-            return false;
-        }
-        const bool was = queued_ >= kHighWater / 2;
+            g_socket_send(socket_, front.data() + offset_, front.size() - offset_, nullptr, error);
+        if (n < 0) return false;
         offset_ += static_cast<std::size_t>(n);
         queued_ -= static_cast<std::size_t>(n);
         wrote_ += static_cast<std::uint64_t>(n);
         if (offset_ == front.size()) queue_.pop_front(), offset_ = 0;
-        if (was && queued_ < kHighWater / 2 && handler_.drained) {
-            handler_.drained();
-            if (!socket_) return false;
-        }
     }
+    return true;
+}
+
+void Connection::flush() {
+    if (!socket_ || connecting_) return;
+    ErrorHolder error;
+    if (!sendSome(&error.e)) return;
     out_.reset();
     if (finish_) g_socket_shutdown(socket_, FALSE, TRUE, nullptr);
-    return false;
 }
 
 void Connection::write(std::string bytes) {
@@ -188,12 +230,7 @@
     std::string out;
     GSocketAddress* remote = socket_ ? g_socket_get_remote_address(socket_, nullptr) : nullptr;
     if (!remote) return out;
-    if (G_IS_INET_SOCKET_ADDRESS(remote)) {
-        gchar* text =
-            g_inet_address_to_string(g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(remote)));
-        out = text;
-        g_free(text);
-    }
+    if (G_IS_INET_SOCKET_ADDRESS(remote)) out = addressOf(G_INET_SOCKET_ADDRESS(remote)).host;
     g_object_unref(remote);
     return out;
 }
@@ -252,17 +289,21 @@
     socket_ = nullptr;
 }
 
-Datagrams::Datagrams(const Address& at, std::function<void(std::string_view)> received)
-    : received_(std::move(received)) {
+Datagrams::Datagrams(const Address& at, Received received) : received_(std::move(received)) {
     socket_ = bound(at, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP);
     GSource* source = g_socket_create_source(socket_, G_IO_IN, nullptr);
     g_source_set_callback(
         source, G_SOURCE_FUNC(+[](GSocket* s, GIOCondition, gpointer self) -> gboolean {
             char buffer[2048];
             for (int i = 0; i < kAcceptsAtOnce; ++i) {
-                const gssize n = g_socket_receive(s, buffer, sizeof buffer, nullptr, nullptr);
+                GSocketAddress* sender = nullptr;
+                const gssize n = g_socket_receive_from(s, &sender, buffer, sizeof buffer, nullptr, nullptr);
+                Address from;
+                if (sender && G_IS_INET_SOCKET_ADDRESS(sender))
+                    from = addressOf(G_INET_SOCKET_ADDRESS(sender));
+                if (sender) g_object_unref(sender);
                 if (n < 0) break;
-                static_cast<Datagrams*>(self)->received_({buffer, static_cast<std::size_t>(n)});
+                static_cast<Datagrams*>(self)->received_(from, {buffer, static_cast<std::size_t>(n)});
             }
             return TRUE;
         }),
--- a/src/io/connection.hpp
+++ b/src/io/connection.hpp
@@ -23,6 +23,9 @@
 // "127.0.0.1:8080"; false where it is not a loopback address with a port between 1 (or 0, where `anyPort`)
 // and 65535. Loopback only: the program neither listens nor connects elsewhere.
 bool parseAddress(const std::string& text, Address& out, bool anyPort = false);
+// The same for any numeric address. For the platform, whose configuration names addresses of its own network;
+// nothing that comes from a client may be given to it.
+bool parseNumericAddress(const std::string& text, Address& out);
 
 enum class Closed { ByPeer, Reset, NotConnected };
 
@@ -45,6 +48,9 @@
     void handle(Handler handler) { handler_ = std::move(handler); }
     // Queues all of it; callers look at backlogged() and wait for drained before they make more.
     void write(std::string bytes) override;
+    // Gives the kernel now what it takes of the queue, where the rest would wait for the loop. No callback
+    // comes from within, `drained` neither; an error is found again, and told, by the loop.
+    void flush();
     bool backlogged() const override { return queued_ >= kHighWater; }
     std::size_t queued() const { return queued_; }
     // Address of the other side without its port; empty where it is gone.
@@ -64,6 +70,7 @@
     void watchOut();
     bool onReady(GIOCondition condition);
     bool onWritable();
+    bool sendSome(GError** error);
     void fail(Closed why);
 
     GSocket* socket_;
@@ -96,7 +103,8 @@
 // UDP on loopback.
 class Datagrams {
   public:
-    Datagrams(const Address& at, std::function<void(std::string_view)> received);
+    using Received = std::function<void(const Address& from, std::string_view bytes)>;
+    Datagrams(const Address& at, Received received);
     ~Datagrams();
     Datagrams(const Datagrams&) = delete;
     Datagrams& operator=(const Datagrams&) = delete;
@@ -105,7 +113,7 @@
   private:
     GSocket* socket_ = nullptr;
     Source source_;
-    std::function<void(std::string_view)> received_;
+    Received received_;
 };
 
 }  // namespace spokewheel::io
--- a/src/nodes/feed.cpp
+++ b/src/nodes/feed.cpp
@@ -18,7 +18,10 @@
 }  // namespace
 
 Feed::Feed(FeedSettings settings, catalogue::Catalogue& into, Note note)
-    : settings_(settings), into_(into), note_(std::move(note)), client_({4, 2, 30000, 1000}, "") {}
+    : settings_(settings),
+      into_(into),
+      note_(std::move(note)),
+      client_({4, 2, 30000, 1000}, gatewayDialect("")) {}
 
 void Feed::onList(const ListUpdate& update) {
     if (update.form == ListForm::Failed) return;
--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -15,7 +15,8 @@
     wire::http::Parser parser{wire::http::Parser::Kind::Response};
     std::uint64_t flight = 0;  // 0: idle
     std::uint64_t wroteBefore = 0;
-    bool ready = false;
+    bool ready = false, retired = false;
+    int interim = 0;  // answers before the answer
     io::Timer timer;  // connecting, or idle
 };
 struct NodeClient::Flight {
@@ -26,12 +27,14 @@
     double startedAt = 0;
     LinkPtr link;
     AttemptResult result;
+    double until = 0;
     io::Timer expiry, later;
-    bool tooLong = false, wantsDigest = false;
 };
 
 namespace {
 
+constexpr int kMostInterim = 16;
+
 double figure(const wire::http::Head& head, const char* name) {
     const auto* text = head.find(name);
     double value = 0;
@@ -50,7 +53,27 @@
     return Outcome::Served;
 }
 
-NodeClient::NodeClient(PoolCaps caps, std::string sender) : caps_(caps), sender_(std::move(sender)) {}
+Dialect gatewayDialect(std::string sender) {
+    Dialect d;
+    d.address = [](const std::string& node, io::Address& out) { return io::parseAddress(node, out); };
+    d.stamp = [sender = std::move(sender)](const host::Label& label, double, wire::http::Fields& fields) {
+        if (!sender.empty()) fields.emplace_back("Spokewheel-Host", sender);
+        if (!label.request.empty())
+            fields.emplace_back("Spokewheel-Attempt", "id=" + label.request + ";n=" +
+                                                          std::to_string(label.attempt) + ";" + label.text);
+    };
+    d.read = [](const wire::http::Head& head) {
+        AttemptResult out;
+        out.outcome = outcomeOf(head.status, head.find("Want-Repr-Digest") != nullptr);
+        out.usage = figure(head, "Spokewheel-Usage");
+        out.othersGot = figure(head, "Spokewheel-Others");
+        return out;
+    };
+    d.probeTarget = "/load";
+    return d;
+}
+
+NodeClient::NodeClient(PoolCaps caps, Dialect dialect) : caps_(caps), dialect_(std::move(dialect)) {}
 NodeClient::~NodeClient() {
     for (auto& [node, links] : links_)
         for (auto& link : links) link->connection->close();
@@ -72,18 +95,22 @@
     f->label = label;
     f->done = std::move(done);
     f->startedAt = io::nowMs();
+    f->until = f->startedAt + expireInMs;
     f->expiry.arm(expireInMs, [this, id] {
-        // Closing the connection is how HTTP/1.1 calls an exchange off. Where nothing of it went out, the
-        // node can't have run it.
-        const auto& flight = *flights_.at(id);
-        const bool sent =
-            flight.link && flight.link->ready && flight.link->connection->wrote() > flight.link->wroteBefore;
-        end(id, sent ? Outcome::NoAnswer : Outcome::NoConnection, false);
+        // Closing the connection is how HTTP/1.1 calls an exchange off.
+        const auto& link = flights_.at(id)->link;
+        end(id, link && mayHaveRun(*link) ? Outcome::NoAnswer : Outcome::NoConnection, false);
     });
     start(id);
     return id;
 }
 
+// By what the kernel has taken of the request on this connection.
+bool NodeClient::mayHaveRun(const Link& link) const {
+    if (!link.ready || link.connection->wrote() <= link.wroteBefore) return false;
+    return !dialect_.runsOnlyWhole || link.connection->queued() == 0;
+}
+
 void NodeClient::start(std::uint64_t id) {
     auto& f = *flights_.at(id);
     auto& links = links_[f.node];
@@ -95,12 +122,14 @@
             drop(link);
             return start(id);
         }
+        if (link->retired) continue;
         link->flight = id;
         f.link = link;
         return transmit(link);
     }
     io::Address address;
-    if (links.size() >= caps_.open || !io::parseAddress(f.node, address)) {
+    if (links.size() >= caps_.open || !dialect_.address(f.node, address)) {
+        if (links.empty()) links_.erase(f.node);
         f.later.arm(0, [this, id] { end(id, Outcome::NoConnection, false); });
         return;
     }
@@ -143,17 +172,16 @@
     auto& f = *flights_.at(link->flight);
     const auto& x = *f.exchange;
     if (x.method == "HEAD") link->parser.expectNoBody();
+    link->interim = 0;
     auto fields = x.fields;
-    if (!sender_.empty()) fields.emplace_back("Spokewheel-Host", sender_);
-    if (!f.label.request.empty())
-        fields.emplace_back("Spokewheel-Attempt", "id=" + f.label.request + ";n=" +
-                                                      std::to_string(f.label.attempt) + ";" + f.label.text);
+    dialect_.stamp(f.label, f.until - io::nowMs(), fields);
     const bool body = x.body != nullptr;
     link->wroteBefore = link->connection->wrote();
     link->connection->write(
         wire::http::writeRequest(x.method, x.target, f.node, fields,
                                  body ? std::optional<std::uint64_t>(x.body->size()) : std::nullopt));
     if (body) link->connection->write(*x.body);
+    link->connection->flush();
 }
 
 void NodeClient::onData(const LinkPtr& link, std::string_view bytes) {
@@ -168,25 +196,27 @@
             case Got::Head: {
                 const auto& head = link->parser.head();
                 if (head.status < 200) {  // interim answers are passed over (RFC 9110, 15.2)
+                    if (++link->interim > kMostInterim) return end(id, Outcome::ServerError, false);
                     link->parser.reset();
                     break;
                 }
+                // One that is longer than it may be is not waited for: it could go on for ever.
+                if (link->parser.remaining() > f.exchange->mostAnswer)
+                    return end(id, Outcome::ServerError, false);
+                f.result = dialect_.read(head);
                 f.result.status = head.status;
-                f.result.body.reserve(std::min(link->parser.remaining(), f.exchange->mostAnswer));
-                f.wantsDigest = head.find("Want-Repr-Digest") != nullptr;
-                f.result.usage = figure(head, "Spokewheel-Usage");
-                f.result.othersGot = figure(head, "Spokewheel-Others");
+                f.result.body.reserve(link->parser.remaining());
                 break;
             }
             case Got::Body:
-                f.tooLong = f.tooLong || f.result.body.size() + body.size() > f.exchange->mostAnswer;
-                if (!f.tooLong) f.result.body += body;
+                if (f.result.body.size() + body.size() > f.exchange->mostAnswer)
+                    return end(id, Outcome::ServerError, false);
+                f.result.body += body;
                 break;
             case Got::End: {
                 const bool early = link->connection->queued() > 0;  // answered before all of it was sent
                 const bool keep = !link->parser.closes() && bytes.empty() && !early;
-                const auto outcome = outcomeOf(f.result.status, f.wantsDigest);
-                return end(id, f.tooLong ? Outcome::ServerError : outcome, keep);
+                return end(id, f.result.outcome, keep);
             }
             case Got::Bad:
                 return end(id, Outcome::ServerError, false);
@@ -195,12 +225,19 @@
 
 void NodeClient::onClosed(const LinkPtr& link, io::Closed why) {
     const auto id = link->flight;
-    // Not connected, or nothing of the request was taken by the socket: it can't have run. Anything else
-    // may have.
-    const bool sent = link->ready && link->connection->wrote() > link->wroteBefore;
     if (!id) return drop(link);
-    end(id, why == io::Closed::NotConnected || !sent ? Outcome::NoConnection : Outcome::ConnectionLost,
-        false);
+    const bool sent = why != io::Closed::NotConnected && mayHaveRun(*link);
+    end(id, sent ? Outcome::ConnectionLost : Outcome::NoConnection, false);
+}
+
+void NodeClient::retire(const std::string& node) {
+    const auto found = links_.find(node);
+    if (found == links_.end()) return;
+    const auto links = found->second;
+    for (const auto& link : links) {
+        link->retired = true;
+        if (!link->flight) drop(link);
+    }
 }
 
 void NodeClient::drop(const LinkPtr& link) {
@@ -208,6 +245,7 @@
     keep->connection->close();
     auto& links = links_[keep->node];
     links.erase(std::remove(links.begin(), links.end(), keep), links.end());
+    if (links.empty()) links_.erase(keep->node);  // nodes come and go for as long as the host runs
 }
 
 void NodeClient::end(std::uint64_t id, Outcome outcome, bool keepLink) {
@@ -217,9 +255,9 @@
     flights_.erase(found);
     if (const auto link = flight->link) {
         link->flight = 0;
-        auto& links = links_[link->node];
+        const auto& links = links_[link->node];
         const auto idle = std::count_if(links.begin(), links.end(), [](auto& l) { return !l->flight; });
-        if (!keepLink || static_cast<std::size_t>(idle) > caps_.idle) drop(link);
+        if (!keepLink || link->retired || static_cast<std::size_t>(idle) > caps_.idle) drop(link);
         else {
             const std::weak_ptr<Link> weak = link;
             link->timer.arm(caps_.idleMs, [this, weak] {
@@ -241,7 +279,7 @@
 void NodeClient::probe(const std::string& node, Done done) {
     auto x = std::make_shared<Exchange>();
     x->method = "GET";
-    x->target = "/load";
+    x->target = dialect_.probeTarget;
     x->mostAnswer = 4096;
     send(node, std::move(x), {}, 1000, std::move(done));
 }
--- a/src/nodes/node_client.hpp
+++ b/src/nodes/node_client.hpp
@@ -16,6 +16,21 @@
 
 namespace spokewheel::nodes {
 
+// What the nodes of one kind speak beyond HTTP/1.1: what an exchange carries and what an answer's head means.
+struct Dialect {
+    // Where a node listens; false where that is not known.
+    std::function<bool(const std::string& node, io::Address&)> address;
+    // Fields of an attempt beside those of its exchange.
+    std::function<void(const host::Label&, double expireInMs, wire::http::Fields&)> stamp;
+    // What an answer means, but for its body: outcome, usage, what others got.
+    std::function<host::AttemptResult(const wire::http::Head&)> read;
+    std::string probeTarget;
+    // A request that was not written whole can't have run. Otherwise one of which nothing was written.
+    bool runsOnlyWhole = false;
+};
+// This project's own: node names are addresses, `Spokewheel-*` fields, Repr-Digest.
+Dialect gatewayDialect(std::string sender);
+
 struct PoolCaps {
     std::size_t open = 64;  // connections to one node
     std::size_t idle = 32;  // kept of them
@@ -25,7 +40,7 @@
 
 class NodeClient : public host::NodePort {
   public:
-    NodeClient(PoolCaps caps, std::string sender);
+    NodeClient(PoolCaps caps, Dialect dialect);
     ~NodeClient() override;
 
     std::uint64_t send(const std::string& node, std::shared_ptr<const host::Exchange> exchange,
@@ -35,6 +50,8 @@
 
     std::size_t out() const { return flights_.size(); }
     std::size_t connections() const;
+    // The node is gone or has moved: what is kept to it is closed, what is in use when its exchange ends.
+    void retire(const std::string& node);
 
   private:
     struct Link;
@@ -47,9 +64,10 @@
     void onClosed(const LinkPtr& link, io::Closed why);
     void end(std::uint64_t id, Outcome outcome, bool keepLink);
     void drop(const LinkPtr& link);
+    bool mayHaveRun(const Link& link) const;
 
     PoolCaps caps_;
-    std::string sender_;
+    Dialect dialect_;
     std::uint64_t nextId_ = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<Flight>> flights_;
     std::map<std::string, std::vector<LinkPtr>> links_;  // by node, idle and in use
--- /dev/null
+++ b/src/platform/configuration.cpp
@@ -0,0 +1,131 @@
+#include "platform/configuration.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "settings/paths.hpp"
+
+namespace spokewheel::platform {
+namespace {
+
+using nlohmann::json;
+
+std::string plain(const json& value) {
+    return value.is_string() ? value.get<std::string>() : value.is_null() ? std::string() : value.dump();
+}
+
+// Nested JSON to the paths that the simulator's wire uses: "classes.count" and "classes.0.name" for a list of
+// objects, plain values joined by commas for any other list.
+void flatten(const json& value, const std::string& path, settings::Paths::Values& out) {
+    if (value.is_object()) {
+        for (const auto& [key, inner] : value.items())
+            flatten(inner, path.empty() ? key : path + "." + key, out);
+        return;
+    }
+    if (!value.is_array()) {
+        if (!value.is_null()) out[path] = plain(value);
+        return;
+    }
+    if (!value.empty() && value.front().is_object()) {
+        out[path + ".count"] = std::to_string(value.size());
+        for (std::size_t i = 0; i < value.size(); ++i) flatten(value[i], path + "." + std::to_string(i), out);
+        return;
+    }
+    std::string joined;
+    for (const auto& one : value) joined += (joined.empty() ? "" : ",") + plain(one);
+    out[path] = joined;
+}
+
+class File {
+  public:
+    File(std::string path, const json& root) : path_(std::move(path)), root_(root) {}
+    [[noreturn]] void fail(const std::string& key, const std::string& wanted) const {
+        throw std::runtime_error(path_ + ": '" + key + "': expected " + wanted);
+    }
+    std::string text(const char* key, const std::string& otherwise) const {
+        const auto found = root_.find(key);
+        if (found == root_.end()) return otherwise;
+        if (!found->is_string()) fail(key, "text");
+        return found->get<std::string>();
+    }
+    io::Address address(const char* key, const std::string& otherwise, bool needed) const {
+        io::Address out;
+        const auto value = text(key, otherwise);
+        if (value.empty() && !needed) return out;
+        if (!io::parseNumericAddress(value, out)) fail(key, "a numeric address with its port");
+        return out;
+    }
+
+  private:
+    std::string path_;
+    const json& root_;
+};
+
+}  // namespace
+
+Configuration readConfiguration(const std::string& path, const Environment& environment) {
+    std::ifstream in(path, std::ios::binary);
+    if (!in) throw std::runtime_error(path + ": can't be opened");
+    const std::string bytes{std::istreambuf_iterator<char>(in), {}};
+    json root;
+    try {
+        root = json::parse(bytes);
+    } catch (const json::parse_error& e) {
+        const auto upTo = std::min(e.byte, bytes.size());
+        const auto line =
+            1 + std::count(bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(upTo), '\n');
+        throw std::runtime_error(path + ":" + std::to_string(line) + ": " + e.what());
+    }
+    if (!root.is_object()) throw std::runtime_error(path + ": expected one object");
+    const File file(path, root);
+    Configuration c;
+    c.name = file.text("name", environment.name);
+    c.listen = file.address("listen", environment.listen, true);
+    c.discovery = file.address("discovery", environment.discovery, true);
+    const auto seed = file.text("seed", "0");
+    const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
+    if (error != std::errc() || end != seed.data() + seed.size()) file.fail("seed", "hex digits");
+    c.peerListen = file.address("peer_listen", "", false);
+    c.peersAll = file.address("peers_all", "", false);
+    if (const auto peers = root.find("peers"); peers != root.end()) {
+        if (!peers->is_array()) file.fail("peers", "a list");
+        for (const auto& one : *peers) {
+            io::Address a;
+            if (!one.is_string() || !io::parseNumericAddress(one.get<std::string>(), a))
+                file.fail("peers", "numeric addresses with their ports");
+            c.peers.push_back(a);
+        }
+    }
+    if (const auto limits = root.find("limits"); limits != root.end()) {
+        const auto sockets = limits->find("sockets");
+        if (sockets != limits->end()) {
+            if (!sockets->is_number_integer() || sockets->get<std::int64_t>() < 1)
+                file.fail("limits.sockets", "a count");
+            c.sockets = sockets->get<std::size_t>();
+        }
+    }
+    c.known.revision = -1;
+    if (const auto known = root.find("known"); known != root.end()) {
+        std::string words;
+        if (!registry::readEndpoints(known->dump(), c.known, words)) file.fail("known", "a list: " + words);
+    }
+    const auto found = root.find("settings");
+    if (found == root.end() || !found->is_object()) file.fail("settings", "an object");
+    settings::Paths::Values values;
+    flatten(*found, "", values);
+    const settings::Paths paths(std::move(values));
+    try {
+        c.module = settings::settingsFrom(paths);
+        paths.get("ceilings.dial-timeout-ms", c.dialTimeoutMs);
+        paths.get("ceilings.conn-idle-ms", c.connIdleMs);
+    } catch (const settings::Fault& fault) {
+        file.fail("settings." + fault.path, fault.expected);
+    }
+    return c;
+}
+
+}  // namespace spokewheel::platform
--- /dev/null
+++ b/src/platform/platform_daemon.hpp
@@ -0,0 +1,50 @@
+// One scheduler of the platform put together: configuration in, sockets out. Wiring only; nothing here
+// decides.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "fronts/http/server.hpp"
+#include "host/host.hpp"
+#include "log/log.hpp"
+#include "nodes/node_client.hpp"
+#include "peers/plain_link.hpp"
+#include "platform/configuration.hpp"
+#include "registry/watch_http.hpp"
+
+namespace spokewheel::platform {
+
+class PlatformDaemon {
+  public:
+    // Throws std::runtime_error or std::invalid_argument where it can't start.
+    PlatformDaemon(std::string file, Environment environment, io::Loop& loop);
+    ~PlatformDaemon();
+    // The configuration was replaced: read whole; a bad one is told and changes nothing.
+    void reload();
+    // First call: takes and answers what still comes, then the loop stops. Second: at once.
+    void stop();
+
+  private:
+    void follow(const io::Address& discovery);
+    void onEndpoints(registry::Endpoints list, ListForm form);
+    void pulse();
+
+    std::string file_;
+    Environment environment_;
+    io::Loop& loop_;
+    Configuration configuration_;
+    log::Log log_;
+    std::unordered_map<std::string, std::string> addresses_;  // of the nodes listed, by id
+    std::int64_t revision_ = -1;
+    std::unique_ptr<nodes::NodeClient> nodes_;
+    std::unique_ptr<host::Host> host_;
+    std::unique_ptr<peers::PlainLink> peers_;
+    std::unique_ptr<registry::WatchHttp> watch_, nextWatch_;  // next: after a move, until it speaks
+    io::Timer switch_, pulseTimer_;
+    std::unique_ptr<fronts::http::Server> server_;
+    bool stopping_ = false;
+};
+
+}  // namespace spokewheel::platform
--- a/src/wire/http/message.cpp
+++ b/src/wire/http/message.cpp
@@ -53,6 +53,12 @@
             return "Content Too Large";
         case 416:
             return "Range Not Satisfiable";
+        case 429:
+            return "Too Many Requests";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 502:
+            return "Bad Gateway";
         case 500:
             return "Internal Server Error";
         case 503:
@@ -216,6 +222,7 @@
         }
 }
 
+bool sameName(std::string_view a, std::string_view b) { return same(a, b); }
 std::string writeRequest(std::string_view method, std::string_view target, std::string_view host,
                          const Fields& fields, std::optional<std::uint64_t> length) {
     std::string out;
--- a/src/wire/http/message.hpp
+++ b/src/wire/http/message.hpp
@@ -71,6 +71,8 @@
     bool noBody_ = false, closes_ = false;
 };
 
+// Names of fields compare without case (RFC 9110, 5.1).
+bool sameName(std::string_view a, std::string_view b);
 std::string writeRequest(std::string_view method, std::string_view target, std::string_view host,
                          const Fields& fields, std::optional<std::uint64_t> length);
 std::string writeResponse(int status, const Fields& fields, std::uint64_t length);
