--- a/src/policy/peer_messages.cpp
+++ b/src/policy/peer_messages.cpp
@@ -36,8 +36,9 @@
     }
     std::uint64_t whole() {
         std::uint64_t value = 0;
-        for (int shift = 0; shift < 63; shift += 7) {
+        for (int shift = 0; shift < 64; shift += 7) {
             const auto b = byte();
+            if (shift == 63 && b > 1) break;  // a 65th bit
             value |= (b & 127) << shift;
             if (b < 128) return value;
         }
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -103,7 +103,7 @@
     bool acked = false;
     std::string boundZone;
     bool mayHaveRun = false, ended = false, drawn = false, started = false;
-    bool ordered() const { return owner < 0 && kind->inOrder && request.key >= 0; }
+    bool ordered() const { return owner < 0 && kind->inOrder && request.key != -1; }
     std::int64_t keyMark() const { return request.key & 0x3fff; }  // the bits of a key that hosts tell
 };
 
--- a/tests/module/limit_test.cpp
+++ b/tests/module/limit_test.cpp
@@ -320,6 +320,24 @@
     for (int i = 0; i < 44; ++i) EXPECT_TRUE(host.tries.count("r" + std::to_string(1000 + i))) << i;
 }
 
+// Guards against reports that are dropped whole for a volume whose number fills all 64 bits: both ends of the
+// range come back as they went, and one bit more is no number.
+TEST(Split, NumbersOfVolumesKeepAllTheirBits) {
+    Report report;
+    report.subperiod = 7;
+    for (const std::int64_t volume : {std::int64_t(0), INT64_MAX, INT64_MIN, std::int64_t(-2)})
+        report.figures.push_back({volume, 1, 2, 3, 0.5});
+    std::vector<CreditFigures> got;
+    for (const auto& bytes : pack(report)) {
+        const auto read = readReport(bytes);
+        ASSERT_TRUE(read);
+        got.insert(got.end(), read->figures.begin(), read->figures.end());
+    }
+    ASSERT_EQ(got.size(), report.figures.size());
+    for (std::size_t i = 0; i < got.size(); ++i) EXPECT_EQ(got[i].volume, report.figures[i].volume);
+    EXPECT_FALSE(readReport(std::string("\x02\x01\xff\xff\xff\xff\xff\xff\xff\xff\xff\x02", 12)));
+}
+
 TEST(Split, AVolumeWithoutALimitSkipsCredits) {
     Host host(many(2, 0));
     host.step(kStart, {list(fleet())});
--- a/tests/module/policy_test.cpp
+++ b/tests/module/policy_test.cpp
@@ -243,6 +243,17 @@
     }
 }
 
+// Guards against keys that fill all 64 bits being taken for none.
+TEST(Order, AKeyWithItsTopBitSetIsAKey) {
+    for (const std::int64_t key : {std::int64_t(5), INT64_MIN, std::int64_t(-2), std::int64_t(-1)}) {
+        Host host(plainSettings());
+        auto a = request("a", "ordered", 0), b = request("b", "ordered", 0);
+        a.key = b.key = key;
+        host.step(kStart, {list({node("n", 0)}), a, b});
+        EXPECT_EQ(host.sent.size(), key == -1 ? 2u : 1u) << key;
+    }
+}
+
 TEST(Order, RequestsOfOneKeyRunOneAtATimeAndRestAfterDoubt) {
     Host host(plainSettings());
     auto r1 = request("k1", "ordered", 0), r2 = request("k2", "ordered", 0),
