An attempt is asked about directly before its first byte; what nobody awaits is stopped

Ruled out: a close that is not noticed (reading goes on while a request is open). Lines: NodeClient::onConnected transmitted without asking; Host::abandon and Host::finish left flights in the dial alone. The same lines sent the first byte to a node told as draining, gone, moved or started anew during the dial. Change: NodeClient::transmit asks the host, and it the module (Scheduler::mayBegin): request open, node listed as ready, counted as cold if it is, keyed repeat still remembered. NodePort::withdraw ends what can't have run once its request is over. A keyed repeat bound to a zone no longer leaves it by way of its shard (mayGoTo, place, granted). SPOKEWHEEL_TRACE writes each request's way to the log. Guards: without the question ANodeThatDrainsInTheDialGetsNothing and ANodeThatMovesInTheDialIsDialledAtItsNewAddress fail; without withdraw WhatIsWrittenInPartStopsAndNeverRan. A client that leaves in the dial is held by either of them.

--- a/apps/spokewheeld.cpp
+++ b/apps/spokewheeld.cpp
@@ -20,7 +20,9 @@
     spokewheel::io::Loop loop;
     spokewheel::platform::PlatformDaemon daemon(
         fromEnvironment("LB_CONFIG"),
-        {fromEnvironment("LB_NAME"), fromEnvironment("LB_LISTEN"), fromEnvironment("LB_DISCOVERY")}, loop);
+        {fromEnvironment("LB_NAME"), fromEnvironment("LB_LISTEN"), fromEnvironment("LB_DISCOVERY"),
+         !fromEnvironment("SPOKEWHEEL_TRACE").empty()},
+        loop);
     loop.onSignal(SIGTERM, [&daemon] { daemon.stop(); });
     loop.onSignal(SIGINT, [&daemon] { daemon.stop(); });
     loop.onSignal(SIGHUP, [&daemon] { daemon.reload(); });
--- a/include/spokewheel/scheduler.hpp
+++ b/include/spokewheel/scheduler.hpp
@@ -143,6 +143,10 @@
 
     // Everything that happened at one instant, in order of arrival; the actions take effect in order.
     std::vector<Action> step(double nowMs, const std::vector<Event>& events);
+    // Whether an attempt that was asked for may still begin. To be asked directly before its first byte,
+    // where time has passed since the step that asked for it (a connection had to be made); where it may not,
+    // nothing is sent and the verdict is NotSent. `attempt` counts the request's attempts from 0.
+    bool mayBegin(double nowMs, const std::string& id, int attempt) const;
 
   private:
     class Impl;
--- a/src/fronts/http/decode_request.cpp
+++ b/src/fronts/http/decode_request.cpp
@@ -148,6 +148,7 @@
     exchange->target = head.target;
     exchange->fields.emplace_back("X-Request-ID", out.id);
     exchange->mostAnswer = kMostAnswer;
+    out.work.name = out.id;
     out.work.exchange = std::move(exchange);
     return out;
 }
--- a/src/host/exchange.hpp
+++ b/src/host/exchange.hpp
@@ -39,11 +39,15 @@
   public:
     virtual ~NodePort() = default;
     using Done = std::function<void(AttemptResult)>;
+    using MayBegin = std::function<bool()>;
     // Starts an attempt. `done` comes once, from the loop and never from within send(). After `expireInMs`
-    // the attempt is called off by closing its connection, and ends as NoAnswer.
+    // the attempt is called off by closing its connection, and ends as NoAnswer. `mayBegin` is asked directly
+    // before the first byte, which may be a dial later; false: nothing is sent, and it ends as NotSent.
     virtual std::uint64_t send(const std::string& node, std::shared_ptr<const Exchange> exchange,
-                               const Label& label, double expireInMs, Done done) = 0;
+                               const Label& label, double expireInMs, Done done, MayBegin mayBegin) = 0;
     virtual void cancel(std::uint64_t attempt) = 0;  // ends as CalledOff
+    // Nobody waits for it any more: it ends as NotSent where it can't have run, at once; else it goes on.
+    virtual void withdraw(std::uint64_t attempt) = 0;
     // A probe: done with the time it took.
     virtual void probe(const std::string& node, Done done) = 0;
 };
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -69,6 +69,7 @@
     r.work = std::move(work);
     r.done = std::move(done);
     waiting_.push_back(id);
+    note("taken", id, "", r.work.name);
     if (!flush_.armed()) flush_.arm(0, [this] { step(); });
     return id;
 }
@@ -77,6 +78,8 @@
     const auto found = requests_.find(id);
     if (found == requests_.end()) return;
     found->second.done = nullptr;
+    note("left", id, "", "");
+    withdraw(found->second);
     if (!found->second.given) requests_.erase(found);
     else {
         post(ClientGone{id});
@@ -84,6 +87,11 @@
     }
 }
 
+// What is still on its way to a node for a request that has ended: it may not begin any more.
+void Host::withdraw(const Request& r) {
+    for (const auto send : r.sends) edges_.nodes->withdraw(send);
+}
+
 void Host::onList(ListUpdate update) {
     if (update.form == ListForm::Full || update.form == ListForm::Cached) shards_.clear();
     for (const auto& e : update.entries) shards_[e.node] = e.shard;
@@ -107,17 +115,22 @@
     ++counters_.attempts;
     ++r.out;
     const double until = a.expireAtMs > 0 ? std::min(a.expireAtMs, r.deadline) : r.deadline;
-    if (edges_.note) edges_.note("attempt", a.id, a.node, std::to_string(attempt));
+    note("attempt", a.id, a.node, std::to_string(attempt));
     char units[32];
     std::snprintf(units, sizeof units, "%g", r.work.units);
     const Label label{a.id, attempt,
                       "class=" + r.work.requestClass + ";volume=" + std::to_string(r.work.volume) +
                           ";units=" + units + ";key=" + std::to_string(r.work.key)};
-    const auto send =
-        edges_.nodes->send(a.node, r.work.exchange, label, until - io::nowMs(),
-                           [this, alive = alive_, id = a.id, attempt, node = a.node](AttemptResult result) {
-                               if (*alive) onResult(id, attempt, node, std::move(result));
-                           });
+    const auto send = edges_.nodes->send(
+        a.node, r.work.exchange, label, until - io::nowMs(),
+        [this, alive = alive_, id = a.id, attempt, node = a.node](AttemptResult result) {
+            if (*alive) onResult(id, attempt, node, std::move(result));
+        },
+        [this, alive = alive_, id = a.id, attempt] {
+            if (!*alive) return false;
+            const auto at = requests_.find(id);
+            return at != requests_.end() && at->second.done && scheduler_.mayBegin(io::nowMs(), id, attempt);
+        });
     r.sends.push_back(send);
 }
 
@@ -127,6 +140,7 @@
     auto& r = found->second;
     --r.out;
     ++counters_.outcomes[result.outcome];
+    note("outcome", id, node, std::to_string(static_cast<int>(result.outcome)));
     const bool served = result.outcome == Outcome::Served;
     Verdict v{
         id, node, result.outcome, attempt, result.tookMs, served || !r.done, result.usage, result.othersGot};
@@ -149,6 +163,7 @@
     ++(answer.kind == Answer::Kind::Served    ? counters_.served
        : answer.kind == Answer::Kind::Refused ? counters_.refused
                                               : counters_.failed);
+    withdraw(found->second);
     if (found->second.out == 0) forget(id);
     done(std::move(answer));
 }
@@ -160,11 +175,11 @@
 }
 
 void Host::act(const Refuse& a) {
-    if (edges_.note) edges_.note("refused", a.id, "", "");
+    note("refused", a.id, "", "");
     finish(a.id, {Answer::Kind::Refused, 0, {}, -1, a.holdOffMs});
 }
 void Host::act(const Fail& a) {
-    if (edges_.note) edges_.note("failed", a.id, "", "");
+    note("failed", a.id, "", "");
     finish(a.id, {Answer::Kind::Failed, 0, {}, -1, 0});
 }
 void Host::act(const Cancel& a) {
--- a/src/host/host.hpp
+++ b/src/host/host.hpp
@@ -25,6 +25,7 @@
     double arrivedMs = 0;  // on io::nowMs(); 0: now. The time to live counts from here
     int shard = -1;        // where the data lies; -1: a new object
     int hosts = 1;         // through which the volume works
+    std::string name;      // what its client calls it; for the log alone
     std::shared_ptr<const Exchange> exchange;
 };
 
@@ -85,6 +86,7 @@
         int attempts = 0, out = 0;
         std::vector<std::uint64_t> sends;
     };
+    void withdraw(const Request& r);
     void post(Event event);
     void step();
     void pump();
@@ -100,6 +102,9 @@
     void act(const FetchList&);
     void onResult(const std::string& id, int attempt, const std::string& node, AttemptResult result);
     void finish(const std::string& id, Answer answer);
+    void note(const char* event, const std::string& id, const std::string& node, const std::string& words) {
+        if (edges_.note) edges_.note(event, id, node, words);
+    }
     void forget(const std::string& id);
 
     Settings settings_;
--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -26,6 +26,7 @@
     std::shared_ptr<const Exchange> exchange;
     host::Label label;
     Done done;
+    MayBegin mayBegin;
     double startedAt = 0;
     LinkPtr link;
     AttemptResult result;
@@ -89,7 +90,7 @@
 }
 
 std::uint64_t NodeClient::send(const std::string& node, std::shared_ptr<const Exchange> exchange,
-                               const host::Label& label, double expireInMs, Done done) {
+                               const host::Label& label, double expireInMs, Done done, MayBegin mayBegin) {
     const auto id = ++nextId_;
     auto& f = flights_[id];
     f = std::make_unique<Flight>();
@@ -97,6 +98,7 @@
     f->exchange = std::move(exchange);
     f->label = label;
     f->done = std::move(done);
+    f->mayBegin = std::move(mayBegin);
     f->startedAt = io::nowMs();
     f->until = f->startedAt + expireInMs;
     f->expiry.arm(expireInMs, [this, id] {
@@ -195,6 +197,10 @@
     link->timer.cancel();
     link->parser.reset();
     auto& f = *flights_.at(link->flight);
+    // The last moment before its first byte: while it was dialled its client may have left, or the node been
+    // told as draining, cold or moved.
+    if (link->retired || (f.mayBegin && !f.mayBegin()))
+        return f.later.arm(0, [this, id = link->flight] { end(id, Outcome::NotSent, true); });
     const auto& x = *f.exchange;
     if (x.method == "HEAD") link->parser.expectNoBody();
     link->interim = 0;
@@ -307,12 +313,23 @@
         found->second->later.arm(0, [this, attempt] { end(attempt, Outcome::CalledOff, false); });
 }
 
+void NodeClient::withdraw(std::uint64_t attempt) {
+    const auto found = flights_.find(attempt);
+    if (found == flights_.end() || (found->second->link && mayHaveRun(*found->second->link))) return;
+    found->second->later.arm(0, [this, attempt] {
+        // The loop may have written the rest meanwhile.
+        const auto again = flights_.find(attempt);
+        if (again == flights_.end() || (again->second->link && mayHaveRun(*again->second->link))) return;
+        end(attempt, Outcome::NotSent, false);
+    });
+}
+
 void NodeClient::probe(const std::string& node, Done done) {
     auto x = std::make_shared<Exchange>();
     x->method = "GET";
     x->target = dialect_.probeTarget;
     x->mostAnswer = 4096;
-    send(node, std::move(x), {}, 1000, std::move(done));
+    send(node, std::move(x), {}, 1000, std::move(done), nullptr);
 }
 
 }  // namespace spokewheel::nodes
--- a/src/nodes/node_client.hpp
+++ b/src/nodes/node_client.hpp
@@ -49,8 +49,10 @@
     ~NodeClient() override;
 
     std::uint64_t send(const std::string& node, std::shared_ptr<const host::Exchange> exchange,
-                       const host::Label& label, double expireInMs, Done done) override;
+                       const host::Label& label, double expireInMs, Done done,
+                       MayBegin mayBegin = nullptr) override;
     void cancel(std::uint64_t attempt) override;
+    void withdraw(std::uint64_t attempt) override;
     void probe(const std::string& node, Done done) override;
 
     std::size_t out() const { return flights_.size(); }
--- a/src/platform/configuration.hpp
+++ b/src/platform/configuration.hpp
@@ -27,6 +27,7 @@
 // What the environment says, as far as it does.
 struct Environment {
     std::string name, listen, discovery;
+    bool trace = false;  // each request's way goes to the log
 };
 
 // Throws std::runtime_error: file, line where there is one, and key. The second takes the file's text, and is
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -37,6 +37,12 @@
     edges.tellPeers = [this](int to, const std::string& bytes) {
         if (peers_) peers_->tell(to, bytes);
     };
+    if (environment_.trace)
+        edges.note = [this](const char* event, const std::string& request, const std::string& node,
+                            const std::string& words) {
+            log_.event(Level::Info, event, {{"request", request}, {"node", node}, {"words", words}},
+                       io::nowMs());
+        };
     // Requests wait in the module alone: how many there can be is bounded by the connections.
     host_ = std::make_unique<host::Host>(c.module, c.seed, std::numeric_limits<std::size_t>::max(),
                                          std::move(edges));
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -75,6 +75,17 @@
         return std::move(out_);
     }
 
+    bool mayBegin(double now, const std::string& id, int attempt) const {
+        const auto found = byId_.find(id);
+        if (found == byId_.end() || found->second->ended || attempt < 0) return false;
+        const Held& q = *found->second;
+        if (static_cast<std::size_t>(attempt) >= q.sent.size()) return false;
+        const Sent& s = q.sent[static_cast<std::size_t>(attempt)];
+        const bool counted = s.cold || !cold(*s.node);
+        return s.open && s.node->lifecycle == Lifecycle::Ready && counted && now < q.deadline &&
+               !forgotten(q, now);
+    }
+
   private:
     // ---------------------------------------------------------------- membership
     // Ask sites: again after a failure, or when an answer stays out, spaced and jittered so that hosts
@@ -424,7 +435,7 @@
         return k.turn.front() == &q && now_ >= k.restUntil;
     }
     bool mayGoTo(const Held& q, const Node& n) const {
-        if (q.request.shard >= 0) return n.shard == q.request.shard;
+        if (q.request.shard >= 0 && n.shard != q.request.shard) return false;
         if (!q.mayHaveRun || q.kind->effect != Effect::ByKey) return true;
         if (q.kind->group == Group::Cell) return n.shard == q.boundShard;
         return q.kind->group == Group::All || n.zone == q.boundZone;
@@ -433,7 +444,7 @@
     Node* place(const Held& q) {
         if (q.goal >= 0) {
             Node* n = holder(q.goal);
-            return n && hasRoom(*n, q.request.units) ? n : nullptr;
+            return n && mayGoTo(q, *n) && hasRoom(*n, q.request.units) ? n : nullptr;
         }
         Node* found = nullptr;
         double least = 0;
@@ -568,7 +579,8 @@
         const auto found = held_.find(seq);
         Held* q = found == held_.end() ? nullptr : found->second;
         Node* n = q ? holder(q->goal) : nullptr;
-        if (n && q->keeper == from && itsTurn(*q) && mayStart(*q) && n->inflight < kWindowMost) {
+        if (n && q->keeper == from && mayGoTo(*q, *n) && itsTurn(*q) && mayStart(*q) &&
+            n->inflight < kWindowMost) {
             heardKeeper(*q);
             send(*q, *n);
             q->sent.back().lease = from;
@@ -642,7 +654,7 @@
             if (!q.sent.empty() && set_.extraSpanMs > 0) extra_.entries.push_back({now_, 1});
             takeDue(q);
         }
-        q.sent.push_back({&n, now_, true});
+        q.sent.push_back({&n, now_, true, cold(n)});
         ++q.open;
         ++n.inflight;
         n.unitsOut += q.request.units;
@@ -773,15 +785,19 @@
     }
     template <class Unused>
     void on(const Unused&) {}  // wakes and probes' results
+    // Whether the nodes may have let go of a keyed request that may have run: it may not be repeated any
+    // more.
+    bool forgotten(const Held& q, double now) const {
+        return q.mayHaveRun && q.kind->effect == Effect::ByKey &&
+               now + 2 * set_.tickMs >= q.mayRunAt + q.kind->memorySpanMs;
+    }
     // Held work is answered just before its client gives up, and sooner once its time to repeat is over.
     void expire() {
         std::vector<Held*> over;
         const double margin = 2 * set_.tickMs;
         for (auto& [seq, q] : held_) {
-            const bool forgotten = q->mayHaveRun && q->kind->effect == Effect::ByKey &&
-                                   now_ + margin >= q->mayRunAt + q->kind->memorySpanMs;
             const double until = q->sent.empty() ? giveUpAt(*q) + margin : q->deadline;
-            if (now_ + margin >= std::min(until, q->deadline) || forgotten) over.push_back(q);
+            if (now_ + margin >= std::min(until, q->deadline) || forgotten(*q, now_)) over.push_back(q);
             else wake(std::min(until, q->deadline) - margin);
         }
         // An attempt whose outcome stays out past the client's time: the answer is owed all the same. Another
@@ -952,5 +968,8 @@
 std::vector<Action> Scheduler::step(double nowMs, const std::vector<Event>& events) {
     return impl_->step(nowMs, events);
 }
+bool Scheduler::mayBegin(double nowMs, const std::string& id, int attempt) const {
+    return impl_->mayBegin(nowMs, id, attempt);
+}
 
 }  // namespace spokewheel
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -83,6 +83,7 @@
     Node* node;
     double at;
     bool open;
+    bool cold;       // whether the cold budget holds it
     int lease = -1;  // the keeper that granted it
 };
 
--- /dev/null
+++ b/tests/gateway/platform_attempt_test.cpp
@@ -0,0 +1,139 @@
+// An attempt from the decision to its first byte: what happens while its connection comes up. Each test holds
+// the door of the disk server, lets the bad thing happen, and opens it.
+#include "held_door.hpp"
+#include "platform/dialect.hpp"
+#include "platform_support.hpp"
+
+namespace spokewheel::platform::testing {
+namespace {
+
+class HeldDial : public PlatformTest {
+  protected:
+    void SetUp() override {
+        PlatformTest::SetUp();
+        // The caller asks again after 1 s and 3 s: the dial has to outlive that.
+        const std::string shortDial = "\"dial-timeout-ms\":250.0";
+        settings.replace(settings.find(shortDial), shortDial.size(), "\"dial-timeout-ms\":2400.0");
+        known = listText(41, true, member("s-1", door.address(), 0));
+        start();
+        ASSERT_TRUE(turn([&] { return discovery->requests() == 1; }));
+        discovery->last().say(kWatchHead);
+    }
+    void ask(Client& c, const std::string& id, const std::string& kind = "read") {
+        c.say(requestText({.method = kind == "read" ? "GET" : "PUT",
+                           .path = "/" + kind,
+                           .klass = kind,
+                           .id = id,
+                           .timeout = "2400"}));
+        // Taken, and its dial under way: what is asked after it on another connection is answered.
+        auto probe = client();
+        probe->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        ASSERT_TRUE(turn([&] { return probe->answered(); }));
+        pass(20);
+    }
+    bool opened(const std::string& id) {
+        return turn([&] {
+            door.letIn();
+            return door.got(id);
+        });
+    }
+    HeldDoor door;
+};
+
+// Guards against an attempt whose client has gone before its connection came up.
+TEST_F(HeldDial, AClientThatLeavesInTheDialIsNotServed) {
+    auto gone = client(), stays = client();
+    ask(*gone, "gone");
+    ask(*stays, "stays");
+    gone.reset();
+    pass(20);
+    ASSERT_TRUE(opened("stays"));
+    pass(50);
+    door.letIn();
+    EXPECT_FALSE(door.got("gone"));
+    door.answerAll(served("x"));
+    ASSERT_TRUE(turn([&] { return stays->answered(); }));
+    EXPECT_EQ(stays->status(), 200);
+}
+
+// Guards against the first byte to a node that was told as draining while its connection came up; the request
+// goes to the one that has the shard now, and was never in doubt.
+TEST_F(HeldDial, ANodeThatDrainsInTheDialGetsNothing) {
+    auto c = client();
+    ask(*c, "a", "once");
+    disk->onRequest = [](Taken& t) { t.say(served("moved")); };
+    discovery->last().say(chunk(listText(43, false,
+                                         member("s-1", door.address(), 0, "draining") + "," +
+                                             member("s-2", disk->address(), 0))));
+    // Its own dial may fail meanwhile or end by the check: either way it is the other that serves.
+    ASSERT_TRUE(turn([&] {
+        door.letIn();
+        return c->answered();
+    }));
+    EXPECT_EQ(c->status(), 200);
+    EXPECT_NE(c->got.find("moved"), std::string::npos);
+    EXPECT_FALSE(door.got("a"));
+}
+
+// The same for a node that is listed under another address by then, and for one that started anew meanwhile:
+// what was counted for a warm node is not sent to a cold one unasked.
+TEST_F(HeldDial, ANodeThatMovesInTheDialIsDialledAtItsNewAddress) {
+    auto c = client();
+    ask(*c, "a", "once");
+    disk->onRequest = [](Taken& t) { t.say(served("there")); };
+    discovery->last().say(chunk(listText(43, false, member("s-1", disk->address(), 0))));
+    ASSERT_TRUE(turn([&] {
+        door.letIn();
+        return c->answered();
+    }));
+    EXPECT_EQ(c->status(), 200);
+    EXPECT_FALSE(door.got("a"));
+}
+
+// What was written whole may be running: it keeps its connection when its client leaves, and the connection
+// serves the next one.
+TEST_F(HeldDial, WhatWasWrittenWholeRunsToItsEnd) {
+    discovery->last().say(chunk(listText(43, true, member("s-1", disk->address(), 0))));
+    auto c = client(), d = client();
+    Taken* first = nullptr;
+    disk->onRequest = [&](Taken& t) { first = &t; };
+    c->say(requestText({.method = "PUT", .path = "/once", .klass = "once", .id = "a", .body = "b"}));
+    ASSERT_TRUE(turn([&] { return first != nullptr; }));
+    c.reset();
+    pass(50);
+    EXPECT_FALSE(first->closed);
+    first->say(served("x"));
+    pass(50);
+    EXPECT_FALSE(first->closed);
+    d->say(requestText({.id = "b"}));
+    ASSERT_TRUE(turn([&] { return disk->requests() == 2; }));
+    EXPECT_EQ(disk->taken.size(), 1u);
+}
+
+// Guards against a body that goes on flowing to a disk server though nobody waits for it: written in part it
+// never ran, and stopping it has no effect.
+TEST(Withdraw, WhatIsWrittenInPartStopsAndNeverRan) {
+    Server node;
+    nodes::NodeClient pool({}, platformDialect(
+                                   [&](const std::string&, io::Address& out) {
+                                       return io::parseNumericAddress(node.address(), out);
+                                   },
+                                   false));
+    auto x = std::make_shared<host::Exchange>();
+    x->method = "PUT", x->target = "/";
+    x->body = std::make_shared<const std::string>(64 * 1024 * 1024, 'b');  // more than the system holds
+    std::vector<Outcome> ended;
+    const auto id = pool.send("s", x, {}, 5000, [&](host::AttemptResult r) { ended.push_back(r.outcome); });
+    ASSERT_TRUE(turn([&] { return node.taken.size() == 1; }));
+    node.taken[0]->connection->pauseReading();
+    pass(20);
+    pool.withdraw(id);
+    ASSERT_TRUE(turn([&] { return ended.size() == 1; }));
+    EXPECT_EQ(ended[0], Outcome::NotSent);
+    node.taken[0]->connection->resumeReading();
+    ASSERT_TRUE(turn([&] { return node.taken[0]->closed; }));
+    EXPECT_EQ(node.requests(), 0u);
+}
+
+}  // namespace
+}  // namespace spokewheel::platform::testing
--- a/tests/module/policy_test.cpp
+++ b/tests/module/policy_test.cpp
@@ -243,6 +243,57 @@
     }
 }
 
+// Guards against a first byte after what allowed it has passed: the client has left, the node drains or came
+// up cold, the nodes may have forgotten what they remember of a keyed request.
+TEST(MayBegin, OnlyWhatStillHolds) {
+    const auto started = [](Host& host, const char* kind) {
+        host.step(kStart, {list({node("n", 0)})});
+        host.step(kStart + 1, {request("a", kind, 0)});
+        ASSERT_EQ(host.sent.size(), 1u);
+        EXPECT_TRUE(host.mayBegin(kStart + 200, "a", 0));
+        EXPECT_FALSE(host.mayBegin(kStart + 200, "a", 1));
+        EXPECT_FALSE(host.mayBegin(kStart + 200, "b", 0));
+        EXPECT_FALSE(host.mayBegin(kStart + 2600, "a", 0));
+    };
+    const std::vector<Event> ends = {ClientGone{"a"},
+                                     list({node("n", 0, Lifecycle::Draining)}, ListForm::Delta),
+                                     list({node("n", 0, Lifecycle::Gone)}, ListForm::Delta),
+                                     list({node("n", 0, Lifecycle::Ready, kStart + 90)}, ListForm::Delta)};
+    for (const auto& end : ends) {
+        Host host(plainSettings());
+        started(host, "once");
+        host.step(kStart + 100, {end});
+        EXPECT_FALSE(host.mayBegin(kStart + 101, "a", 0)) << end.index();
+    }
+    Host host(plainSettings());
+    started(host, "keyed");
+    host.verdict(kStart + 20, host.sent[0], Outcome::ConnectionLost);
+    host.runTo(kStart + 1000);
+    ASSERT_EQ(host.sent.size(), 2u);
+    EXPECT_TRUE(host.mayBegin(kStart + 1400, "a", 1));
+    EXPECT_FALSE(host.mayBegin(kStart + 1500, "a", 1));  // remembered for 1,500 ms
+}
+
+// Guards against a keyed repeat that leaves its group by way of its shard, which a node of another zone holds
+// now.
+TEST(Keyed, ARepeatStaysInItsZoneThoughItsShardMoves) {
+    auto settings = plainSettings();
+    settings.classes[2].group = Group::Zone;
+    for (const char* zone : {"a", "b"}) {
+        Host host(settings);
+        auto first = node("n", 0), next = node("m", 0);
+        first.zone = "a", next.zone = zone;
+        host.step(kStart, {list({first})});
+        host.step(kStart + 1, {request("k", "keyed", 0)});
+        ASSERT_EQ(host.sent.size(), 1u);
+        host.step(kStart + 10, {list({next})});
+        host.verdict(kStart + 20, host.sent[0], Outcome::ConnectionLost);
+        host.runTo(kStart + 1700);
+        EXPECT_EQ(host.sent.size(), *zone == 'a' ? 2u : 1u) << zone;
+        EXPECT_EQ(host.failed.count("k"), *zone == 'b' ? 1u : 0u) << zone;
+    }
+}
+
 // Guards against keys that fill all 64 bits being taken for none.
 TEST(Order, AKeyWithItsTopBitSetIsAKey) {
     for (const std::int64_t key : {std::int64_t(5), INT64_MIN, std::int64_t(-2), std::int64_t(-1)}) {
--- a/tests/module/support.hpp
+++ b/tests/module/support.hpp
@@ -130,6 +130,10 @@
         step(now, {v});
     }
 
+    bool mayBegin(double now, const std::string& id, int attempt) const {
+        return scheduler_.mayBegin(now, id, attempt);
+    }
+
     std::vector<Attempt> sent;
     std::vector<double> sentAt, asked;
     std::map<std::string, int> tries;
