A silent watch has one budget, lists are framed by whole objects, a start hears the list first

Lines: Watch::kSilentMs 7000, WatchHttp::onData (any byte fed the clock, half a line for ever), WatchHttp::failed (let go of the old connection before a new one spoke), onBody (one object a line: an indented list was 'unreadable' and asked for again without end), PlatformDaemon (ready right after the bind, sends by the list of the configuration; a whole list with a lower revision undid drains). Change: a watch without a whole line for 2.6 s gets a second one beside it (tries of 1.0, 1.3, 1.6 s, three open at most), the first that speaks ends the others; a move works the same way. JsonFrames takes objects apart, NodeBook holds what was told of each node and by which revision. An entry that can't be read counts as draining. /ready says 200 once the agent was heard, after 2.5 s in any case (decide_start.hpp); before that nothing is sent. The fixture of the tests greets the watch now, as /ready depends on it. Guards taken out one by one, and what failed: the older list's check AnOlderListUndoesNoDrain; 2.6 s back to 7 s ASilentWatchIsOpenedAnewInTimeThoughTwoTriesFail, AnOldConnectionThatSpeaksAgainCounts; list first AStartedSchedulerHearsTheListFirst.

--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -34,6 +34,8 @@
     // From now on `/ready` answers 503 and no connection is closed for room: clients can't make new ones. All
     // else goes on.
     void unready() { ready_ = false; }
+    // From now on `/ready` answers 200.
+    void ready() { ready_ = true; }
     // From now on answers end their connections and idle ones are closed. `done` comes from the loop once no
     // request is open or half-read.
     void drain(std::function<void()> done);
@@ -67,7 +69,7 @@
     std::uint64_t nextSession_ = 0;
     std::unordered_map<std::uint64_t, SessionPtr> sessions_;
     std::unordered_set<std::string> openIds_;
-    bool ready_ = true, draining_ = false;
+    bool ready_ = false, draining_ = false;
     std::function<void()> drained_;
     Counts counts_;
     io::Timer sweep_;
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "platform/decide_budget.hpp"
+#include "platform/decide_start.hpp"
 #include "platform/decide_stop.hpp"
 #include "platform/dialect.hpp"
 
@@ -24,14 +25,14 @@
       configuration_(readConfiguration(file_, environment_)),
       log_("", "info", configuration_.name) {
     const auto& c = configuration_;
-    nodes_ = std::make_unique<nodes::NodeClient>(
-        poolCaps(c.sockets, c.memoryMb, c.connIdleMs, c.dialTimeoutMs),
-        platformDialect(
-            [this](const std::string& node, io::Address& out) {
-                const auto found = addresses_.find(node);
-                return found != addresses_.end() && io::parseNumericAddress(found->second, out);
-            },
-            true));
+    nodes_ =
+        std::make_unique<nodes::NodeClient>(poolCaps(c.sockets, c.memoryMb, c.connIdleMs, c.dialTimeoutMs),
+                                            platformDialect(
+                                                [this](const std::string& node, io::Address& out) {
+                                                    const auto* address = book_.address(node);
+                                                    return address && io::parseNumericAddress(*address, out);
+                                                },
+                                                true));
     host::Host::Edges edges;
     edges.nodes = nodes_.get();
     edges.tellPeers = [this](int to, const std::string& bytes) {
@@ -50,58 +51,64 @@
         peers_ = std::make_unique<peers::PlainLink>(
             c.module.rank, c.peerListen, c.peers, c.peersAll,
             [this](int from, std::string bytes) { host_->onPeer(from, std::move(bytes)); });
-    if (c.known.revision >= 0) onEndpoints(c.known, ListForm::Cached);
-    follow(c.discovery);
     server_ = std::make_unique<fronts::http::Server>(*host_, configuration_.module, c.listen, c.sockets);
+    follow();
+    startTimer_.arm(kFirstWordMs, [this] { begin("not heard"); });
     log_.event(Level::Info, "started",
                {{"listen", c.listen.text()},
                 {"sockets", std::to_string(c.sockets)},
                 {"conn_idle_ms", std::to_string(c.connIdleMs)},
-                {"nodes", std::to_string(addresses_.size())}},
+                {"nodes", std::to_string(c.known.entries.size())}},
                io::nowMs());
     pulseTimer_.arm(kPulseMs, [this] { pulse(); });
 }
 
 PlatformDaemon::~PlatformDaemon() = default;
 
-// A watch from the last revision; the one before is let go of once the new one speaks.
-void PlatformDaemon::follow(const io::Address& discovery) {
-    auto made = std::make_unique<registry::WatchHttp>(
-        discovery, revision_, configuration_.seed,
+void PlatformDaemon::follow() {
+    watch_ = std::make_unique<registry::WatchHttp>(
+        configuration_.discovery, configuration_.known.revision, configuration_.seed,
         [this](registry::Endpoints list) {
             const auto form = list.complete ? ListForm::Full : ListForm::Delta;
+            if (form == ListForm::Delta) recall();  // what changed since then
             onEndpoints(std::move(list), form);
         },
         [this](const std::string& words) {
             log_.event(Level::Warn, "node_list_fault", {{"words", words}}, io::nowMs());
             if (configuration_.module.subscribe) host_->onList({ListForm::Failed, {}});
         },
-        [this, discovery] {
-            if (!nextWatch_ || switch_.armed() || discovery.text() != configuration_.discovery.text()) return;
-            switch_.arm(0, [this] { watch_ = std::move(nextWatch_); });
-        });
-    (watch_ ? nextWatch_ : watch_) = std::move(made);
+        [this] { begin("heard"); });
+}
+
+// The list of the configuration, where no other has come.
+void PlatformDaemon::recall() {
+    if (book_.revision() < 0 && configuration_.known.revision >= 0)
+        onEndpoints(std::exchange(configuration_.known, {}), ListForm::Cached);
+}
+
+// Clients are sent here from now on. What the agent has counts as told from the first moment of a process,
+// and the list in the configuration may be older: so it is heard first, for as long as decide_start.hpp says.
+void PlatformDaemon::begin(const char* why) {
+    if (std::exchange(begun_, true)) return;
+    startTimer_.cancel();
+    recall();
+    if (!stopping_) server_->ready();
+    log_.event(Level::Info, "ready",
+               {{"list", why},
+                {"nodes", std::to_string(book_.size())},
+                {"after_ms", std::to_string(io::nowMs() - startedAt_)}},
+               io::nowMs());
 }
 
 void PlatformDaemon::onEndpoints(registry::Endpoints list, ListForm form) {
-    if (form == ListForm::Delta && list.revision <= revision_) return;  // two watches told the same
-    revision_ = list.revision;
-    if (form != ListForm::Delta)
-        for (auto it = addresses_.begin(); it != addresses_.end();) {
-            if (!list.addresses.count(it->first)) nodes_->retire(it->first);
-            it = list.addresses.count(it->first) ? std::next(it) : addresses_.erase(it);
-        }
-    for (const auto& e : list.entries)
-        if (e.lifecycle == Lifecycle::Gone) {
-            nodes_->retire(e.node);
-            addresses_.erase(e.node);
-        }
-    for (const auto& [node, address] : list.addresses) {
-        auto& known = addresses_[node];
-        if (!known.empty() && known != address) nodes_->retire(node);
-        known = address;
-    }
-    host_->onList({form, std::move(list.entries)});
+    if (list.unreadable)
+        log_.event(Level::Warn, "node_list_entries_unreadable", {{"count", std::to_string(list.unreadable)}},
+                   io::nowMs());
+    auto change = book_.apply(std::move(list), form);
+    if (!change.news) return;
+    // The module hears first, so that what is retired is asked about with the new word known.
+    host_->onList(std::move(change.update));
+    for (const auto& node : change.retire) nodes_->retire(node);
 }
 
 void PlatformDaemon::reload() {
@@ -115,9 +122,7 @@
     log_.event(Level::Info, "configuration_read", {{"discovery", read.discovery.text()}}, io::nowMs());
     if (read.discovery.text() == configuration_.discovery.text()) return;
     configuration_.discovery = read.discovery;
-    switch_.cancel();
-    nextWatch_.reset();
-    follow(read.discovery);
+    watch_->moveTo(read.discovery);
 }
 
 void PlatformDaemon::stop() {
--- a/src/platform/platform_daemon.hpp
+++ b/src/platform/platform_daemon.hpp
@@ -4,7 +4,6 @@
 
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 #include "fronts/http/server.hpp"
 #include "host/host.hpp"
@@ -12,6 +11,7 @@
 #include "nodes/node_client.hpp"
 #include "peers/plain_link.hpp"
 #include "platform/configuration.hpp"
+#include "registry/node_book.hpp"
 #include "registry/watch_http.hpp"
 
 namespace spokewheel::platform {
@@ -27,7 +27,9 @@
     void stop();
 
   private:
-    void follow(const io::Address& discovery);
+    void follow();
+    void begin(const char* why);
+    void recall();
     void onEndpoints(registry::Endpoints list, ListForm form);
     void pulse();
 
@@ -36,15 +38,15 @@
     io::Loop& loop_;
     Configuration configuration_;
     log::Log log_;
-    std::unordered_map<std::string, std::string> addresses_;  // of the nodes listed, by id
-    std::int64_t revision_ = -1;
+    registry::NodeBook book_;
+    double startedAt_ = io::nowMs();
     std::unique_ptr<nodes::NodeClient> nodes_;
     std::unique_ptr<host::Host> host_;
     std::unique_ptr<peers::PlainLink> peers_;
-    std::unique_ptr<registry::WatchHttp> watch_, nextWatch_;  // next: after a move, until it speaks
-    io::Timer switch_, pulseTimer_, stopTimer_;
+    std::unique_ptr<registry::WatchHttp> watch_;
+    io::Timer startTimer_, pulseTimer_, stopTimer_;
     std::unique_ptr<fronts::http::Server> server_;
-    bool stopping_ = false;
+    bool begun_ = false, stopping_ = false;
 };
 
 }  // namespace spokewheel::platform
--- a/src/registry/decide_watch.hpp
+++ b/src/registry/decide_watch.hpp
@@ -1,5 +1,9 @@
-// When a watch is opened again, what is asked for then, and when silence counts as its end. Free of I/O and
-// clocks.
+// When a watch counts as broken, when it is opened again, and what is asked for then. Free of I/O and clocks;
+// times are milliseconds.
+//
+// The platform allows 6 s from the moment a watch fell silent, and 4 s after a move, until what it missed
+// counts as told. An empty line comes every 2 s. So one that has said no whole line for 2.6 s has been silent
+// for that long at most; two tries may fail after it, 1 s and 1.3 s, before the third has to speak.
 #pragma once
 
 #include <algorithm>
@@ -16,28 +20,40 @@
     // Whether what came is news: whole lists always are (the past may have been lost), changes only where
     // they are later than what is known.
     bool take(std::int64_t revision, bool complete) {
-        failures_ = 0;
         if (!complete && revision <= revision_) return false;
         revision_ = revision;
         return true;
     }
-    void heard() { failures_ = 0; }
+    void heard() { tries_ = refusals_ = 0; }
     // What came could not be read: something is missing now, so the whole list is asked for.
     void lost() { revision_ = -1; }
-    // The agent is on the same machine: it costs little to ask it again soon.
+    // How long a try that was just opened may go without its head before another is opened beside it. They
+    // grow a little, for a list service that is down for long is asked by all schedulers at once.
+    double tryMs() {
+        const double wait = std::min(kMostTryMs, kTryMs + kTryStepMs * tries_);
+        ++tries_;
+        return wait * (1 - kJitter * uniform());
+    }
+    // How long to wait after a refused or broken connection, where no other is open. The agent is on the same
+    // machine: it costs little to ask it again soon.
     double againMs() {
-        const double most = std::min(kMostMs, kFirstMs * static_cast<double>(1u << std::min(failures_, 5u)));
-        ++failures_;
-        return most * (0.5 + 0.5 * static_cast<double>(random_() >> 11) / 9007199254740992.0);
+        const double most = std::min(kMostMs, kFirstMs * static_cast<double>(1u << std::min(refusals_, 5u)));
+        ++refusals_;
+        return most * (1 - 0.5 * uniform());
     }
-    // An empty line comes every 2 s: after three of them missing the connection is taken for dead.
-    static constexpr double kFirstMs = 50, kMostMs = 1000, kSilentMs = 7000, kConnectMs = 1000;
-    static constexpr std::size_t kMostLine = 1024 * 1024;
+    static constexpr double kSilentMs = 2600;
+    // An old connection that is silent may still be the first to speak when the list service returns; so it
+    // is held beside the tries.
+    static constexpr std::size_t kMostOpen = 3;
+    static constexpr std::size_t kMostValue = 1024 * 1024;
 
   private:
+    static constexpr double kTryMs = 1000, kTryStepMs = 300, kMostTryMs = 1600, kJitter = 0.1;
+    static constexpr double kFirstMs = 50, kMostMs = 800;
+    double uniform() { return static_cast<double>(random_() >> 11) / 9007199254740992.0; }
     std::mt19937_64 random_;
     std::int64_t revision_;
-    unsigned failures_ = 0;
+    unsigned tries_ = 0, refusals_ = 0;
 };
 
 }  // namespace spokewheel::registry
--- a/src/registry/endpoints.cpp
+++ b/src/registry/endpoints.cpp
@@ -32,6 +32,19 @@
     return n;
 }
 
+void readMember(const json& m, NodeEntry& e, Endpoints& read) {
+    auto id = m.at("id").get<std::string>();
+    if (id.empty()) throw std::runtime_error("a member without an id");
+    e.node = std::move(id);
+    e.lifecycle = lifecycleOf(m.at("phase").get<std::string>());
+    e.zone = m.value("locality", std::string());
+    if (const auto cell = m.find("cell"); cell != m.end())
+        e.shard = static_cast<int>(whole(*cell, "cell", -1, 1 << 30));
+    e.sizeHint = figure(m, "size", 1);
+    e.cameUpMs = figure(m, "up_since_ms", 0);
+    if (e.lifecycle != Lifecycle::Gone) read.addresses[e.node] = m.at("host_port").get<std::string>();
+}
+
 }  // namespace
 
 bool readEndpoints(std::string_view text, Endpoints& out, std::string& words) {
@@ -40,17 +53,17 @@
         Endpoints read;
         read.revision = whole(list.at("revision"), "revision", 0, INT64_MAX);
         read.complete = list.at("complete").get<bool>();
+        if (!list.at("members").is_array()) throw std::runtime_error("members: a list is wanted");
         for (const auto& m : list.at("members")) {
             NodeEntry e;
-            e.node = m.at("id").get<std::string>();
-            if (e.node.empty()) throw std::runtime_error("a member without an id");
-            e.lifecycle = lifecycleOf(m.at("phase").get<std::string>());
-            e.zone = m.value("locality", std::string());
-            if (const auto cell = m.find("cell"); cell != m.end())
-                e.shard = static_cast<int>(whole(*cell, "cell", -1, 1 << 30));
-            e.sizeHint = figure(m, "size", 1);
-            e.cameUpMs = figure(m, "up_since_ms", 0);
-            if (e.lifecycle != Lifecycle::Gone) read.addresses[e.node] = m.at("host_port").get<std::string>();
+            try {
+                readMember(m, e, read);
+            } catch (const std::exception& fault) {
+                words = fault.what();
+                ++read.unreadable;
+                if (e.node.empty()) continue;
+                e.lifecycle = Lifecycle::Draining;
+            }
             read.entries.push_back(std::move(e));
         }
         out = std::move(read);
--- a/src/registry/endpoints.hpp
+++ b/src/registry/endpoints.hpp
@@ -17,9 +17,12 @@
     bool complete = false;  // the whole list; otherwise what changed
     std::vector<NodeEntry> entries;
     std::map<std::string, std::string> addresses;  // by id, of those that are not gone
+    // Entries that can't be read beside good ones: one with an id is taken as draining, so that nothing new
+    // goes there; one without is passed over.
+    std::size_t unreadable = 0;
 };
 
-// False, with `words` for people, where the object can't be used; all of it or nothing is.
+// False, with `words` for people, where the object can't be used. `words` is set for unreadable entries too.
 bool readEndpoints(std::string_view json, Endpoints& out, std::string& words);
 
 }  // namespace spokewheel::registry
--- /dev/null
+++ b/src/registry/node_book.hpp
@@ -0,0 +1,42 @@
+// What was told last of each node of the platform's list, and what a new word makes of it. Free of I/O and
+// clocks. A word that is older than what is known never makes a node more usable than it is known to be: an
+// agent that is behind must not undo a drain.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "registry/endpoints.hpp"
+#include "spokewheel/scheduler.hpp"
+
+namespace spokewheel::registry {
+
+class NodeBook {
+  public:
+    struct Change {
+        bool news = false;  // false: nothing to do
+        ListUpdate update;
+        std::vector<std::string> retire;  // nodes to which kept connections are of no use any more
+    };
+    Change apply(Endpoints list, ListForm form);
+    // Where the node listens; nullptr where it is gone or was never told.
+    const std::string* address(const std::string& node) const;
+    std::int64_t revision() const { return revision_; }
+    std::size_t size() const { return present_; }
+
+  private:
+    struct Known {
+        std::string address;
+        Lifecycle lifecycle = Lifecycle::Gone;
+        double cameUpMs = 0;
+        std::int64_t revision = -1;
+    };
+    void forgetOldest();
+    std::map<std::string, Known> nodes_;  // those that are gone too, some while
+    std::int64_t revision_ = -1;
+    std::size_t present_ = 0;
+};
+
+}  // namespace spokewheel::registry
--- a/src/registry/watch_http.cpp
+++ b/src/registry/watch_http.cpp
@@ -1,5 +1,6 @@
 #include "registry/watch_http.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace spokewheel::registry {
@@ -15,80 +16,129 @@
 }
 
 WatchHttp::~WatchHttp() {
-    if (connection_) connection_->close();
+    for (const auto& s : open_) s->connection->close();
+}
+
+void WatchHttp::moveTo(const io::Address& at) {
+    at_ = at;
+    watch_.heard();  // the new place has not failed yet
+    connect();
 }
 
 void WatchHttp::connect() {
-    parser_ = wire::http::Parser(wire::http::Parser::Kind::Response);
-    line_.clear();
-    connection_ = io::Connection::dial(at_);
-    if (!connection_->open()) return failed("cannot be reached");
-    connection_->handle({[this] {
-                             std::string target = "/v1/endpoints?stream=1";
-                             if (watch_.from() >= 0) target += "&index=" + std::to_string(watch_.from());
-                             connection_->write(wire::http::writeRequest("GET", target, at_.text(), {}, {}));
-                             connection_->flush();
-                             timer_.arm(Watch::kSilentMs, [this] { failed("says nothing"); });
-                         },
-                         [this](std::string_view bytes) { onData(bytes); },
-                         {},
-                         [this](io::Closed) { failed("closed the connection"); }});
-    timer_.arm(Watch::kConnectMs, [this] { failed("does not take the connection"); });
+    if (open_.size() >= Watch::kMostOpen) drop(open_.front());
+    const auto s = std::make_shared<Stream>();
+    s->at = at_;
+    s->connection = io::Connection::dial(at_);
+    s->dueAt = io::nowMs() + watch_.tryMs();
+    open_.push_back(s);
+    if (!s->connection->open()) return failed(s, "cannot be reached");
+    const std::weak_ptr<Stream> weak = s;
+    s->connection->handle({[this, weak] {
+                               const auto l = weak.lock();
+                               if (!l) return;
+                               std::string target = "/v1/endpoints?stream=1";
+                               if (watch_.from() >= 0) target += "&index=" + std::to_string(watch_.from());
+                               l->connection->write(
+                                   wire::http::writeRequest("GET", target, l->at.text(), {}, {}));
+                               l->connection->flush();
+                           },
+                           [this, weak](std::string_view bytes) {
+                               if (const auto l = weak.lock()) onData(l, bytes);
+                           },
+                           {},
+                           [this, weak](io::Closed) {
+                               if (const auto l = weak.lock()) failed(l, "closed the connection");
+                           }});
+    armNext();
+}
+
+// Another is opened once all that are open to the present place are overdue; none: after a wait.
+void WatchHttp::armNext() {
+    double at = againAt_;
+    for (const auto& s : open_)
+        if (current(*s)) at = std::max(at, s->dueAt);
+    next_.arm(at - io::nowMs(), [this] {
+        if (std::any_of(open_.begin(), open_.end(), [this](const auto& s) { return current(*s); }))
+            fault_("discovery at " + at_.text() + " says nothing");
+        connect();
+    });
+}
+
+void WatchHttp::drop(const StreamPtr& s) {
+    s->connection->close();
+    open_.erase(std::remove(open_.begin(), open_.end(), s), open_.end());
 }
 
-void WatchHttp::failed(const std::string& words) {
-    if (connection_) connection_->close();
-    connection_.reset();
-    fault_("discovery at " + at_.text() + " " + words);
-    timer_.arm(watch_.againMs(), [this] { connect(); });
+void WatchHttp::failed(const StreamPtr& stream, const std::string& words) {
+    const auto s = stream;  // may be the last to hold it
+    if (std::find(open_.begin(), open_.end(), s) == open_.end()) return;
+    drop(s);
+    fault_("discovery at " + s->at.text() + " " + words);
+    if (!std::any_of(open_.begin(), open_.end(), [this](const auto& o) { return current(*o); }))
+        againAt_ = io::nowMs() + watch_.againMs();
+    armNext();
 }
 
-void WatchHttp::onData(std::string_view bytes) {
+void WatchHttp::onData(const StreamPtr& s, std::string_view bytes) {
     using Got = wire::http::Parser::Got;
-    timer_.arm(Watch::kSilentMs, [this] { failed("says nothing"); });
     std::string_view part;
-    for (;;) switch (parser_.next(bytes, part)) {
+    for (;;) switch (s->parser.next(bytes, part)) {
             case Got::More:
                 return;
             case Got::Head:
-                if (parser_.head().status != 200)
-                    return failed("answered with status " + std::to_string(parser_.head().status));
+                if (s->parser.head().status != 200)
+                    return failed(s, "answered with status " + std::to_string(s->parser.head().status));
+                s->dueAt = io::nowMs() + Watch::kSilentMs;
+                armNext();
                 break;
             case Got::Body:
-                while (!part.empty()) {
-                    const auto end = part.find('\n');
-                    line_.append(part.substr(0, end));
-                    if (line_.size() > Watch::kMostLine) {
-                        watch_.lost();
-                        return failed("sent a line that is too long");
-                    }
-                    if (end == part.npos) break;
-                    part.remove_prefix(end + 1);
-                    const auto line = std::exchange(line_, {});
-                    if (!onLine(line)) return;
-                }
+                if (!onBody(s, part)) return;
                 break;
             case Got::End:
-                return failed("ended the watch");
+                return failed(s, "ended the watch");
+            case Got::Bad:
+                return failed(s, "sent what can't be read: " + s->parser.error());
+        }
+}
+
+bool WatchHttp::onBody(const StreamPtr& s, std::string_view part) {
+    using Got = JsonFrames::Got;
+    for (;;) switch (s->frames.next(part)) {
+            case Got::More:
+                return true;
+            case Got::Beat:
+                spoke(s);
+                break;
+            case Got::Value: {
+                Endpoints list;
+                std::string words;
+                if (!readEndpoints(s->frames.value(), list, words)) {
+                    watch_.lost();
+                    failed(s, "sent a list that can't be read: " + words);
+                    return false;
+                }
+                if (watch_.take(list.revision, list.complete)) update_(std::move(list));
+                spoke(s);
+                break;
+            }
             case Got::Bad:
-                return failed("sent what can't be read: " + parser_.error());
+                watch_.lost();
+                failed(s, "sent what is no list");
+                return false;
         }
 }
 
-bool WatchHttp::onLine(std::string_view line) {
-    while (!line.empty() && (line.back() == '\r' || line.back() == ' ')) line.remove_suffix(1);
+// Only whole lines and whole objects count: half a line that drips for ever says nothing.
+void WatchHttp::spoke(const StreamPtr& s) {
+    s->dueAt = io::nowMs() + Watch::kSilentMs;
+    if (!current(*s)) return;
+    const auto others = open_;
+    for (const auto& other : others)
+        if (other != s) drop(other);
     watch_.heard();
+    armNext();
     if (heard_) heard_();
-    if (line.empty()) return true;
-    Endpoints list;
-    std::string words;
-    if (!readEndpoints(line, list, words)) {
-        watch_.lost();
-        failed("sent a list that can't be read: " + words);
-        return false;
-    }
-    if (watch_.take(list.revision, list.complete)) update_(std::move(list));
-    return true;
 }
 
 }  // namespace spokewheel::registry
--- a/tests/gateway/platform_attempt_test.cpp
+++ b/tests/gateway/platform_attempt_test.cpp
@@ -16,8 +16,6 @@
         settings.replace(settings.find(shortDial), shortDial.size(), "\"dial-timeout-ms\":2400.0");
         known = listText(41, true, member("s-1", door.address(), 0));
         start();
-        ASSERT_TRUE(turn([&] { return discovery->requests() == 1; }));
-        discovery->last().say(kWatchHead);
     }
     void ask(Client& c, const std::string& id, const std::string& kind = "read") {
         c.say(requestText({.method = kind == "read" ? "GET" : "PUT",
@@ -62,9 +60,8 @@
     auto c = client();
     ask(*c, "a", "once");
     disk->onRequest = [](Taken& t) { t.say(served("moved")); };
-    discovery->last().say(chunk(listText(43, false,
-                                         member("s-1", door.address(), 0, "draining") + "," +
-                                             member("s-2", disk->address(), 0))));
+    discovery->last().say(chunk(listText(
+        43, false, member("s-1", door.address(), 0, "draining") + "," + member("s-2", disk->address(), 0))));
     // Its own dial may fail meanwhile or end by the check: either way it is the other that serves.
     ASSERT_TRUE(turn([&] {
         door.letIn();
@@ -114,11 +111,10 @@
 // never ran, and stopping it has no effect.
 TEST(Withdraw, WhatIsWrittenInPartStopsAndNeverRan) {
     Server node;
-    nodes::NodeClient pool({}, platformDialect(
-                                   [&](const std::string&, io::Address& out) {
-                                       return io::parseNumericAddress(node.address(), out);
-                                   },
-                                   false));
+    nodes::NodeClient pool(
+        {}, platformDialect([&](const std::string&,
+                                io::Address& out) { return io::parseNumericAddress(node.address(), out); },
+                            false));
     auto x = std::make_shared<host::Exchange>();
     x->method = "PUT", x->target = "/";
     x->body = std::make_shared<const std::string>(64 * 1024 * 1024, 'b');  // more than the system holds
--- /dev/null
+++ b/tests/gateway/platform_list_test.cpp
@@ -0,0 +1,209 @@
+// The list of disk servers in all its forms, and a watch that says nothing: what the agent has counts as told
+// 6 s after a watch fell silent, 4 s after a new configuration, and from the first moment of a process.
+#include "platform_support.hpp"
+#include "registry/json_frames.hpp"
+#include "registry/node_book.hpp"
+
+namespace spokewheel::platform::testing {
+namespace {
+
+using registry::JsonFrames;
+
+// The values and beats ('|') of a text, fed in pieces of `size` bytes.
+std::string framed(const std::string& text, std::size_t size, std::size_t most = 1000) {
+    JsonFrames frames(most);
+    std::string out;
+    for (std::size_t at = 0; at < text.size(); at += size) {
+        std::string_view in = std::string_view(text).substr(at, size);
+        for (auto got = frames.next(in); got != JsonFrames::Got::More; got = frames.next(in)) {
+            if (got == JsonFrames::Got::Bad) return out + "!";
+            out += got == JsonFrames::Got::Beat ? "|" : frames.value();
+        }
+    }
+    return out;
+}
+
+TEST(JsonFrames, ValuesComeWholeHoweverTheyAreWrittenAndSplit) {
+    const std::string indented = "{\n  \"a\": [\n    \"}\\\"]\\\\\",\n    {}\n  ]\n}";
+    const std::string text = indented + "\n\r\n" + "{\"b\":1}{\"c\":2} \n";
+    for (std::size_t size = 1; size <= text.size(); ++size)
+        EXPECT_EQ(framed(text, size), indented + "||{\"b\":1}{\"c\":2}|") << size;
+    EXPECT_EQ(framed("\nnoise", 1), "|!");
+    EXPECT_EQ(framed("{}]", 3), "{}!");
+    EXPECT_EQ(framed("{\"a\":\"" + std::string(50, 'x'), 7, 40), "!");  // bounded though it never ends
+}
+
+registry::Endpoints word(std::int64_t revision, bool complete, const std::string& members) {
+    registry::Endpoints out;
+    std::string words;
+    EXPECT_TRUE(
+        registry::readEndpoints(listText(static_cast<int>(revision), complete, members), out, words))
+        << words;
+    return out;
+}
+
+// Guards against an agent that is behind: its list makes nothing more usable than it is known to be.
+TEST(NodeBook, AnOlderListUndoesNoDrain) {
+    registry::NodeBook book;
+    book.apply(word(50, true,
+                    member("a", "127.0.0.1:1", 0) + "," + member("b", "127.0.0.1:2", 1, "draining") + "," +
+                        member("c", "127.0.0.1:3", 2)),
+               ListForm::Full);
+    book.apply(word(51, false, member("c", "127.0.0.1:3", 2, "removed")), ListForm::Delta);
+    const auto phases = [](const registry::NodeBook::Change& change) {
+        std::map<std::string, Lifecycle> out;
+        for (const auto& e : change.update.entries) out[e.node] = e.lifecycle;
+        return out;
+    };
+    const auto all = member("a", "127.0.0.1:1", 0) + "," + member("b", "127.0.0.1:2", 1) + "," +
+                     member("c", "127.0.0.1:3", 2);
+    const auto behind = phases(book.apply(word(45, true, all), ListForm::Full));
+    EXPECT_EQ(behind.at("a"), Lifecycle::Ready);
+    EXPECT_EQ(behind.at("b"), Lifecycle::Draining);
+    EXPECT_EQ(behind.at("c"), Lifecycle::Gone);
+    // Changes on the way to what was known already do not either; a later one does.
+    EXPECT_EQ(phases(book.apply(word(46, false, member("b", "127.0.0.1:2", 1)), ListForm::Delta)).at("b"),
+              Lifecycle::Draining);
+    EXPECT_FALSE(book.apply(word(46, false, member("b", "127.0.0.1:2", 1)), ListForm::Delta).news);
+    EXPECT_EQ(phases(book.apply(word(52, false, member("b", "127.0.0.1:2", 1)), ListForm::Delta)).at("b"),
+              Lifecycle::Ready);
+}
+
+TEST(NodeBook, WhatStartedAnewMovedDrainsOrGoesIsRetired) {
+    const auto retired = [](const std::string& members, bool complete) {
+        registry::NodeBook book;
+        book.apply(word(1, true, member("a", "127.0.0.1:1", 0)), ListForm::Full);
+        return book.apply(word(2, complete, members), complete ? ListForm::Full : ListForm::Delta)
+            .retire.size();
+    };
+    auto anew = member("a", "127.0.0.1:1", 0);
+    anew.replace(anew.find("up_since_ms\":0"), 14, "up_since_ms\":77");
+    EXPECT_EQ(retired(member("a", "127.0.0.1:1", 0), false), 0u);
+    EXPECT_EQ(retired(anew, false), 1u);
+    EXPECT_EQ(retired(member("a", "127.0.0.1:2", 0), false), 1u);
+    EXPECT_EQ(retired(member("a", "127.0.0.1:1", 0, "draining"), false), 1u);
+    EXPECT_EQ(retired("", true), 1u);
+}
+
+// An entry that can't be read beside good ones: the others count, and nothing new goes to it.
+TEST(NodeBook, AnEntryThatCantBeReadIsNotSentTo) {
+    const auto list = word(2, true,
+                           member("a", "127.0.0.1:1", 0) + "," + member("b", "127.0.0.1:2", 1, "odd") +
+                               R"(,7,{"phase":"up"})");
+    EXPECT_EQ(list.unreadable, 3u);
+    ASSERT_EQ(list.entries.size(), 2u);
+    EXPECT_EQ(list.entries[0].lifecycle, Lifecycle::Ready);
+    EXPECT_EQ(list.entries[1].lifecycle, Lifecycle::Draining);
+}
+
+class ListTest : public PlatformTest {
+  protected:
+    std::string drained() { return listText(43, false, member("s-1", disk->address(), 0, "draining")); }
+    // Whether a request goes to the disk server.
+    bool goesOut(const std::string& id) {
+        auto c = client();
+        const auto before = disk->requests();
+        c->say(requestText({.id = id, .timeout = "200"}));
+        EXPECT_TRUE(turn([&] { return disk->requests() > before || c->answered(); }));
+        return disk->requests() > before;
+    }
+    std::size_t watches() const { return discovery->requests(); }
+};
+
+TEST_F(ListTest, ListsMayComeIndentedAndInPieces) {
+    start();
+    EXPECT_TRUE(goesOut("a"));
+    std::string indented = drained();
+    for (std::size_t at = 0; (at = indented.find_first_of(",{", at)) != indented.npos; at += 4)
+        indented.insert(at + 1, "\n  ");
+    for (std::size_t at = 0; at < indented.size(); at += 11)
+        discovery->last().say(piece(indented.substr(at, 11)));
+    ASSERT_TRUE(turn([&] { return !goesOut("b"); }));
+    pass(50);
+    EXPECT_EQ(watches(), 1u);  // nothing had to be asked for again
+}
+
+// Guards against a watch that fell silent: told 6 s later at the latest though two tries fail, while half a line
+// that drips says nothing either.
+TEST_F(ListTest, ASilentWatchIsOpenedAnewInTimeThoughTwoTriesFail) {
+    start();
+    auto& silent = discovery->last();
+    const double from = io::nowMs();
+    double dripped = 0;
+    ASSERT_TRUE(turn(
+        [&] {
+            if (io::nowMs() > dripped + 100) silent.say(piece(" ")), dripped = io::nowMs();
+            return watches() == 4;
+        },
+        6000));
+    EXPECT_LT(io::nowMs() - from, 5500);
+    EXPECT_FALSE(silent.closed && discovery->taken.size() < 4);
+    discovery->last().say(std::string(kWatchHead) + chunk(drained()));
+    ASSERT_TRUE(turn([&] { return !goesOut("a"); }));
+    EXPECT_LT(io::nowMs() - from, 6000);
+    // The others are let go of.
+    ASSERT_TRUE(turn([&] {
+        std::size_t open = 0;
+        for (const auto& t : discovery->taken) open += !t->closed;
+        return open <= 1 + 3;  // connections to /ready are the scheduler's own
+    }));
+}
+
+// Guards against a list service that was down and speaks on the old connection first: heard at once.
+TEST_F(ListTest, AnOldConnectionThatSpeaksAgainCounts) {
+    start();
+    auto& old = discovery->last();
+    ASSERT_TRUE(turn([&] { return watches() == 3; }, 5000));
+    EXPECT_FALSE(old.closed);
+    old.say(chunk(drained()));
+    ASSERT_TRUE(turn([&] { return !goesOut("a"); }, 500));
+    const auto* tried = &discovery->last();
+    EXPECT_TRUE(turn([&] { return tried->closed; }));
+}
+
+// A new configuration counts as told 4 s later, though the first try at the new place is not answered and the
+// old one goes on speaking.
+TEST_F(ListTest, AMoveIsHeardInTimeThoughTheFirstTryFails) {
+    start();
+    auto& old = discovery->last();
+    Server moved;
+    write(configuration(moved.address()));
+    daemon->reload();
+    const double from = io::nowMs();
+    ASSERT_TRUE(turn(
+        [&] {
+            old.say(chunk(""));
+            return moved.requests() == 2;
+        },
+        4000));
+    moved.last().say(std::string(kWatchHead) + chunk(drained()));
+    ASSERT_TRUE(turn([&] { return !goesOut("a"); }));
+    EXPECT_LT(io::nowMs() - from, 3500);
+    EXPECT_TRUE(old.closed);
+}
+
+// Guards against the first moments of a process, in which the list it was started with may be older than what
+// the agent has: nothing is sent, and no client called, before the agent is heard.
+TEST_F(ListTest, AStartedSchedulerHearsTheListFirst) {
+    raise();
+    ASSERT_TRUE(turn([&] { return watches() == 1; }));
+    EXPECT_EQ(readyStatus(), 503);
+    auto early = client();
+    early->say(requestText({.id = "early", .timeout = "900"}));
+    pass(50);
+    EXPECT_EQ(disk->requests(), 0u);
+    discovery->last().say(std::string(kWatchHead) + chunk(drained()));
+    ASSERT_TRUE(turn([&] { return readyStatus() == 200; }));
+    ASSERT_TRUE(turn([&] { return early->answered(); }));
+    EXPECT_EQ(disk->requests(), 0u);
+}
+
+// A list service that is down does not block a start: the list of the configuration has to do.
+TEST_F(ListTest, AStartDoesNotWaitForAListServiceThatIsDown) {
+    raise();
+    ASSERT_TRUE(turn([&] { return readyStatus() == 200; }, 4000));
+    EXPECT_TRUE(goesOut("a"));
+}
+
+}  // namespace
+}  // namespace spokewheel::platform::testing
--- a/tests/gateway/platform_support.hpp
+++ b/tests/gateway/platform_support.hpp
@@ -150,11 +150,12 @@
     return R"({"revision":)" + std::to_string(revision) + R"(,"complete":)" + (complete ? "true" : "false") +
            R"(,"members":[)" + members + "]}";
 }
-inline std::string chunk(const std::string& line) {
+inline std::string piece(const std::string& bytes) {
     char size[16];
-    std::snprintf(size, sizeof size, "%zx", line.size() + 1);
-    return std::string(size) + "\r\n" + line + "\n\r\n";
+    std::snprintf(size, sizeof size, "%zx", bytes.size());
+    return std::string(size) + "\r\n" + bytes + "\r\n";
 }
+inline std::string chunk(const std::string& line) { return piece(line + "\n"); }
 constexpr const char* kWatchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 // A scheduler with one disk server, in cell 0.
@@ -172,10 +173,22 @@
                R"(},"known":)" + known + R"(,"settings":)" + settings + "}";
     }
     void write(const std::string& text) const { std::ofstream(file) << text; }
-    void start() {
+    void raise() {
         write(configuration(discovery->address()));
         daemon = std::make_unique<PlatformDaemon>(file, Environment{}, loop);
     }
+    // Raised, and its list service has said that nothing changed: it is ready.
+    void start() {
+        raise();
+        ASSERT_TRUE(turn([&] { return discovery->requests() == 1; }));
+        discovery->last().say(std::string(kWatchHead) + chunk(""));
+        ASSERT_TRUE(turn([&] { return readyStatus() == 200; }));
+    }
+    int readyStatus() {
+        Client c(port);
+        c.say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        return turn([&] { return c.answered() || c.closed; }) ? c.status() : 0;
+    }
     std::unique_ptr<Client> client() { return std::make_unique<Client>(port); }
 
     std::string file = ::testing::TempDir() + "platform-" + std::to_string(::getpid()) + ".json";
--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -122,10 +122,8 @@
 TEST_F(PlatformTest, TheWatchTellsOfChangesAndIsTakenUpAgain) {
     known = listText(41, true, "");
     start();
-    ASSERT_TRUE(turn([&] { return discovery->requests() == 1; }));
     EXPECT_EQ(discovery->last().heads[0].target, "/v1/endpoints?stream=1&index=41");
-    discovery->last().say(std::string(kWatchHead) +
-                          chunk(listText(43, false, member("s-1", disk->address(), 0))) + "1\r\n\n\r\n");
+    discovery->last().say(chunk(listText(43, false, member("s-1", disk->address(), 0))) + "1\r\n\n\r\n");
     auto c = client();
     c->say(requestText({.id = "a"}));
     ASSERT_TRUE(turn([&] { return disk->requests() == 1; }));
@@ -138,8 +136,6 @@
 TEST_F(PlatformTest, ANewConfigurationMovesTheWatch) {
     known = listText(41, true, "");
     start();
-    ASSERT_TRUE(turn([&] { return discovery->requests() == 1; }));
-    discovery->last().say(kWatchHead);
     auto& old = *discovery->taken[0];
     write("{ not JSON");
     daemon->reload();
