Client connections end in order: what came is answered, what rests is flushed, shut and read out

Change: one life cycle in decide_connections.hpp (Leave: flush, shut, read on and drop, close at the other's end or 500 ms after the flush); an answer ends its connection by this side's wish only where nothing waits behind it; what waits behind keeps the time at which it came, so that its X-Timeout-Ms tells what is left; a flood is read on, dropped and answered by an end; accepting pauses at the cap; AnswerBy brings the planned stop's bound to what is open.

--- a/include/spokewheel/scheduler.hpp
+++ b/include/spokewheel/scheduler.hpp
@@ -100,8 +100,12 @@
     int from = 0;
     std::string bytes;
 };
-using Event =
-    std::variant<ListUpdate, Request, Verdict, AnswerStarted, ClientGone, ProbeResult, Wake, PeerMessage>;
+// This host ends: each request that it holds has its answer by then.
+struct AnswerBy {
+    double atMs = 0;
+};
+using Event = std::variant<ListUpdate, Request, Verdict, AnswerStarted, ClientGone, ProbeResult, Wake,
+                           PeerMessage, AnswerBy>;
 
 // ---- actions ----
 struct Attempt {
--- a/src/fronts/http/decide_connections.hpp
+++ b/src/fronts/http/decide_connections.hpp
@@ -12,21 +12,31 @@
         Speaking,  // a request has come in part
         Open,      // a whole request waits for its answer
         Idle,      // an answer went out and nothing has come since
-        Leaving    // its last answer is out; what still comes is read and dropped
+        Leaving    // the write side is shut, or will be after what is queued; what still comes is dropped
     } phase = Phase::Silent;
-    double since = 0;  // when this phase began
+    double since = 0;       // when this phase began; of the first request on a connection: when it connected
+    bool first = true;      // no whole request has come on it yet
+    double flushedAt = -1;  // Leaving: when all that was queued had gone to the system; below zero: not yet
+    bool unread = false;    // bytes, or its end, wait in the socket
 };
 
-// A whole request must have come this long after its first byte, and the first byte this long after the
-// connection: a client that can't be read is owed an error or a close within 3 s of connecting.
-constexpr double kWholeRequestMs = 2400;
+// The first request on a connection must have come whole this long after it was made: a client that can't be
+// read is owed an error or a close within 3 s of connecting. One that has been read before may write slowly.
+constexpr double kFirstRequestMs = 2600, kLaterRequestMs = 6000;
 // A kept connection without a request. With room it stays: it is what a client has left where this scheduler
 // is told to stop. Without, it closes as soon as the platform allows: some clients ask once and keep theirs
 // for good. A request that crosses the close is sent again by its client, for nothing of it was read.
 constexpr double kIdleMs = 20000, kIdleShortMs = 2050;
-// How long the end of a client that got an error is waited for, so that a reset doesn't eat the error.
-constexpr double kLeaveMs = 500;
+// How long the end of a client is waited for after its answer was handed to the system, so that a reset doesn't
+// eat it, and how long a slow reader has until then.
+constexpr double kLeaveMs = 500, kFlushMs = 5000;
 constexpr std::size_t kLeaveBytes = 256 * 1024;
+// What may come behind an open request, of one connection and of all; and what is dropped of a flood beyond it
+// before its connection is closed, its open request with it.
+constexpr std::size_t kMostAhead = 512 * 1024, kLeastAhead = 32 * 1024, kMostFlood = 8 * 1024 * 1024;
+inline bool aheadFits(std::size_t ofThis, std::size_t ofAll, std::size_t mostOfAll) {
+    return ofThis <= kLeastAhead || (ofThis <= kMostAhead && ofAll <= mostOfAll);
+}
 
 // For requests clients hold at most a third of the descriptors, what idles of theirs counted in: once that is
 // full, requests find no connection.
@@ -42,29 +52,41 @@
     return part > kNone ? Room::None : part > kShort ? Room::Short : Room::Plenty;
 }
 
-enum class Do { Keep, Close, TellAndClose };
+enum class Do {
+    Keep,
+    Leave,         // shut the write side after what is queued, read on and drop, close at the other's end
+    TellAndLeave,  // the same after an error
+    Close          // at once
+};
 
-inline Do decide(const Standing& s, Room room, double nowMs) {
+// `draining`: this scheduler is told to end, and what rests is ended too.
+inline Do decide(const Standing& s, Room room, bool draining, double nowMs) {
     const double past = nowMs - s.since;
     switch (s.phase) {
         case Standing::Phase::Open:
             return Do::Keep;
         case Standing::Phase::Speaking:
-            return past >= kWholeRequestMs ? Do::TellAndClose : Do::Keep;
+            return past >= (s.first ? kFirstRequestMs : kLaterRequestMs) ? Do::TellAndLeave : Do::Keep;
         case Standing::Phase::Silent:
-            return past >= kWholeRequestMs ? Do::Close : Do::Keep;
+            return !s.unread && (draining || past >= kFirstRequestMs) ? Do::Leave : Do::Keep;
         case Standing::Phase::Idle:
-            return past >= (room == Room::Plenty ? kIdleMs : kIdleShortMs) ? Do::Close : Do::Keep;
+            if (s.unread) return Do::Keep;
+            return draining || past >= (room == Room::Plenty ? kIdleMs : kIdleShortMs) ? Do::Leave : Do::Keep;
         case Standing::Phase::Leaving:
-            return past >= kLeaveMs ? Do::Close : Do::Keep;
+            if (s.flushedAt < 0) return past >= kFlushMs ? Do::Close : Do::Keep;
+            return nowMs - s.flushedAt >= kLeaveMs ? Do::Close : Do::Keep;
     }
     return Do::Keep;
 }
 
 // Whether `a` goes before `b` where there are too many. One with an open request never goes; of the others
-// those that are on their way out, then the one that has been without a whole request for longest.
+// those that have their answer, then the one that has been without a whole request for longest, then those of
+// which something waits to be read or written.
 inline bool goesBefore(const Standing& a, const Standing& b) {
-    const auto rank = [](const Standing& s) { return s.phase == Standing::Phase::Leaving ? 0 : 1; };
+    const auto rank = [](const Standing& s) {
+        if (s.phase == Standing::Phase::Leaving) return s.flushedAt >= 0 ? 0 : 3;
+        return s.unread ? 2 : 1;
+    };
     if (rank(a) != rank(b)) return rank(a) < rank(b);
     return a.since < b.since;
 }
--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -1,6 +1,7 @@
 #include "fronts/http/server.hpp"
 
 #include <cstdio>
+#include <deque>
 #include <utility>
 #include <vector>
 
@@ -14,21 +15,25 @@
     wire::http::Parser parser{wire::http::Parser::Kind::Request, {16 * 1024, 64, kMostBody}};
     Standing standing;
     Decoded decoded;
-    std::string body, ahead;  // ahead: what came behind the open request; unread until that is answered
+    std::string body;
+    // What came behind the open request, and when: not looked at until that is answered.
+    std::deque<std::pair<double, std::string>> ahead;
+    std::size_t aheadBytes = 0;
     std::string hostId;       // of the open request
-    std::size_t dropped = 0;  // bytes read while leaving
+    std::size_t dropped = 0;  // bytes read while leaving, or of a flood
+    bool flooded = false;     // more came behind the open request than is kept
+    double readAt = 0;        // when what is parsed now came
     bool isReady = false;     // the request is the one for readiness
 };
 
 namespace {
 
 constexpr double kSweepMs = 100;
-constexpr std::size_t kMostAhead = 64 * 1024;
 
 }  // namespace
 
-Server::Server(host::Host& host, const Settings& settings, const io::Address& at, std::size_t descriptors)
-    : host_(host), settings_(settings), descriptors_(descriptors), most_(sharesOf(descriptors).clients) {
+Server::Server(host::Host& host, const Settings& settings, const io::Address& at, Caps caps)
+    : host_(host), settings_(settings), caps_(caps), most_(sharesOf(caps.descriptors).clients) {
     listener_ = std::make_unique<io::Listener>(
         at, [this](std::shared_ptr<io::Connection> c) { onAccepted(std::move(c)); });
     sweep_.arm(kSweepMs, [this] { sweep(); });
@@ -39,7 +44,13 @@
     for (auto& [number, s] : sessions_) s->connection->close();
 }
 
-void Server::enter(Session& s, Phase phase) { s.standing = {phase, io::nowMs()}; }
+void Server::enter(Session& s, Phase phase) {
+    // The time of a first request runs from when its connection was made.
+    const bool goesOn = phase == Phase::Speaking && s.standing.first;
+    s.standing.phase = phase;
+    if (!goesOn) s.standing.since = io::nowMs();
+    s.standing.flushedAt = -1;
+}
 
 void Server::onAccepted(std::shared_ptr<io::Connection> connection) {
     if (sessions_.size() >= most_) makeRoom();
@@ -61,36 +72,41 @@
                            }});
 }
 
-// The connections are few enough to look at each; this happens only at the cap.
+const Standing& Server::look(Session& s) {
+    auto& now = s.standing;
+    now.unread = now.phase != Phase::Open && s.connection->readable();
+    if (now.phase == Phase::Leaving && now.flushedAt < 0 && s.connection->queued() == 0)
+        now.flushedAt = io::nowMs();
+    return now;
+}
+
+// The connections are few enough to look at each; this happens only at the cap. Where each holds an open
+// request, who comes waits in the system's queue until one ends.
 void Server::makeRoom() {
     SessionPtr first;
     for (const auto& [number, s] : sessions_)
-        if (s->standing.phase != Phase::Open && (!first || goesBefore(s->standing, first->standing)))
-            first = s;
-    if (!first) return;
+        if (s->standing.phase != Phase::Open && (!first || goesBefore(look(*s), first->standing))) first = s;
+    if (!first) return listener_->pause();
     ++counts_.gaveWay;
     close(first);
 }
 
-Room Server::room() const { return ready_ ? roomOf(sessions_.size(), descriptors_) : Room::Plenty; }
+Room Server::room() const { return accepting_ ? roomOf(sessions_.size(), caps_.descriptors) : Room::Plenty; }
 
 void Server::sweep() {
     const double now = io::nowMs();
     const auto room = this->room();
-    std::vector<SessionPtr> over;
+    std::vector<std::pair<SessionPtr, Do>> over;
     for (const auto& [number, s] : sessions_)
-        if (decide(s->standing, room, now) != Do::Keep || (draining_ && s->standing.phase == Phase::Idle))
-            over.push_back(s);
-    for (const auto& s : over)
-        if (decide(s->standing, room, now) == Do::TellAndClose)
-            error(s, 408, "the request did not come whole in time");
+        if (const auto what = decide(look(*s), room, draining_, now); what != Do::Keep)
+            over.emplace_back(s, what);
+    for (const auto& [s, what] : over)
+        if (what == Do::TellAndLeave) error(s, 408, "the request did not come whole in time");
+        else if (what == Do::Leave) leave(s);
         else close(s);
-    if (draining_ && drained_) {
-        bool busy = false;
-        for (const auto& [number, s] : sessions_)
-            busy = busy || s->standing.phase == Phase::Open || s->standing.phase == Phase::Speaking ||
-                   s->connection->queued() > 0;
-        if (!busy) return std::exchange(drained_, nullptr)();
+    if (draining_ && drained_ && sessions_.empty() && !listener_->pending()) {
+        listener_->stop();
+        return std::exchange(drained_, nullptr)();
     }
     sweep_.arm(kSweepMs, [this] { sweep(); });
 }
@@ -104,23 +120,43 @@
 void Server::onData(const SessionPtr& s, std::string_view bytes) {
     switch (s->standing.phase) {
         case Phase::Open:
-            s->ahead += bytes;
-            if (s->ahead.size() >= kMostAhead) s->connection->pauseReading();
-            return;
+            return keepAhead(s, bytes);
         case Phase::Leaving:
             if ((s->dropped += bytes.size()) > kLeaveBytes) close(s);
             return;
         default:
+            s->readAt = io::nowMs();
             return parse(s, bytes);
     }
 }
 
+// Reading goes on, so that the client's end is seen; what is beyond the bound is dropped, and the connection
+// ends once what came before it is answered.
+void Server::keepAhead(const SessionPtr& s, std::string_view bytes) {
+    if (!s->flooded && aheadFits(s->aheadBytes + bytes.size(), aheadBytes_ + bytes.size(), caps_.ahead)) {
+        s->ahead.emplace_back(io::nowMs(), bytes);
+        s->aheadBytes += bytes.size();
+        aheadBytes_ += bytes.size();
+        return;
+    }
+    s->flooded = true;
+    if ((s->dropped += bytes.size()) > kMostFlood) close(s);
+}
+
+void Server::forgetAhead(Session& s) {
+    aheadBytes_ -= std::exchange(s.aheadBytes, 0);
+    s.ahead.clear();
+}
+
 void Server::parse(const SessionPtr& s, std::string_view bytes) {
     using Got = wire::http::Parser::Got;
     std::string_view body;
     while (s->connection->open()) {
         if (s->standing.phase == Phase::Open) {
-            s->ahead += bytes;
+            // It came with what is open now, before all that came since.
+            if (!bytes.empty()) s->ahead.emplace_front(s->readAt, bytes);
+            s->aheadBytes += bytes.size();
+            aheadBytes_ += bytes.size();
             return;
         }
         if (s->standing.phase == Phase::Leaving) return;
@@ -162,6 +198,7 @@
 
 void Server::onWhole(const SessionPtr& s) {
     const bool last = s->parser.closes();
+    s->standing.first = false;
     if (s->isReady) return answer(s, ready_ ? 200 : 503, {}, "", last);
     if (s->decoded.work.exchange->method == "GET" && !s->body.empty())
         return error(s, 400, "a GET with a body");
@@ -173,7 +210,7 @@
         exchange->body = std::make_shared<const std::string>(std::exchange(s->body, {}));
         work.exchange = std::move(exchange);
     }
-    work.arrivedMs = io::nowMs();
+    work.arrivedMs = s->readAt;
     enter(*s, Phase::Open);
     s->hostId = host_.submit(std::move(work), [this, alive = alive_, s](host::Answer a) {
         if (*alive) onAnswer(s, std::move(a));
@@ -201,15 +238,24 @@
             answer(s, 502, {}, "", last);
             break;
     }
-    if (s->standing.phase != Phase::Idle || s->ahead.empty()) return;
-    const auto ahead = std::exchange(s->ahead, {});
-    s->connection->resumeReading();
-    parse(s, ahead);
+    while (s->standing.phase != Phase::Open && s->standing.phase != Phase::Leaving && !s->ahead.empty()) {
+        const auto [at, bytes] = std::move(s->ahead.front());
+        s->ahead.pop_front();
+        s->aheadBytes -= bytes.size();
+        aheadBytes_ -= bytes.size();
+        s->readAt = at;
+        parse(s, bytes);
+    }
+    if (s->flooded && s->ahead.empty() && s->standing.phase != Phase::Open &&
+        s->standing.phase != Phase::Leaving && s->connection->open())
+        error(s, 400, "too much behind an open request");
 }
 
 void Server::answer(const SessionPtr& s, int status, wire::http::Fields fields, const std::string& body,
                     bool last) {
-    last = last || draining_ || room() == Room::None;
+    // What has come behind it is answered too, before the connection ends by this scheduler's wish.
+    const bool more = !s->ahead.empty() || s->connection->readable();
+    last = last || ((draining_ || room() == Room::None) && !more);
     if (last) fields.emplace_back("Connection", "close");
     s->connection->write(wire::http::writeResponse(status, fields, body.size()) + body);
     s->connection->flush();
@@ -225,12 +271,12 @@
     answer(s, status, {{"Content-Type", "text/plain"}}, words + "\n", true);
 }
 
-// The write side is closed after what is queued; what still comes is read and dropped for a while, so that
-// the answer isn't lost to a reset.
+// An orderly end (RFC 9112, 9.6): the write side is shut after what is queued, what still comes is read and
+// dropped until the other side ends too or decide() says so. A close over unread bytes would be a reset, and
+// take along what the other side has not read.
 void Server::leave(const SessionPtr& s) {
     enter(*s, Phase::Leaving);
-    s->ahead.clear();
-    s->connection->resumeReading();
+    forgetAhead(*s);
     s->connection->shutdownWrite();
 }
 
@@ -239,7 +285,9 @@
         openIds_.erase(s->decoded.id);
         host_.abandon(std::exchange(s->hostId, {}));
     }
+    forgetAhead(*s);
     sessions_.erase(s->number);
+    listener_->resume();
 }
 
 void Server::close(const SessionPtr& s) {
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -24,20 +24,24 @@
         std::uint64_t connections = 0, requests = 0, errors = 0, gaveWay = 0;
         std::size_t most = 0;
     };
-    // Throws std::runtime_error where it can't listen. `descriptors` is what the process may hold: its
-    // clients' share of them (decide_connections.hpp) bounds the connections; over it one gives way.
-    Server(host::Host& host, const Settings& settings, const io::Address& at, std::size_t descriptors);
+    struct Caps {
+        std::size_t descriptors = 1024;  // what the process may hold; its clients' share bounds the connections
+        std::size_t ahead = 8 << 20;     // bytes that wait behind open requests, of all connections
+    };
+    // Throws std::runtime_error where it can't listen. Over its clients' share of the descriptors
+    // (decide_connections.hpp) a connection gives way.
+    Server(host::Host& host, const Settings& settings, const io::Address& at, Caps caps);
     ~Server();
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
 
+    // From now on `/ready` answers 200; before that 503.
+    void ready() { ready_ = true; }
     // From now on `/ready` answers 503 and no connection is closed for room: clients can't make new ones. All
     // else goes on.
-    void unready() { ready_ = false; }
-    // From now on `/ready` answers 200.
-    void ready() { ready_ = true; }
-    // From now on answers end their connections and idle ones are closed. `done` comes from the loop once no
-    // request is open or half-read.
+    void unready() { ready_ = accepting_ = false; }
+    // From now on answers end their connections, but for those behind which more has come, and what rests is
+    // ended. `done` comes from the loop once no connection is left and none waits to be taken.
     void drain(std::function<void()> done);
     const Counts& counts() const { return counts_; }
     std::size_t connections() const { return sessions_.size(); }
@@ -49,6 +53,9 @@
     void onAccepted(std::shared_ptr<io::Connection> connection);
     void onData(const SessionPtr& s, std::string_view bytes);
     void onClosed(const SessionPtr& s);
+    void keepAhead(const SessionPtr& s, std::string_view bytes);
+    void forgetAhead(Session& s);
+    const Standing& look(Session& s);  // its standing, with what its connection tells now
     void parse(const SessionPtr& s, std::string_view bytes);
     bool onHead(const SessionPtr& s);
     void onWhole(const SessionPtr& s);
@@ -65,11 +72,12 @@
 
     host::Host& host_;
     const Settings& settings_;
-    std::size_t descriptors_, most_;
+    Caps caps_;
+    std::size_t most_, aheadBytes_ = 0;
     std::uint64_t nextSession_ = 0;
     std::unordered_map<std::uint64_t, SessionPtr> sessions_;
     std::unordered_set<std::string> openIds_;
-    bool ready_ = false, draining_ = false;
+    bool ready_ = false, accepting_ = true, draining_ = false;
     std::function<void()> drained_;
     Counts counts_;
     io::Timer sweep_;
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -87,6 +87,12 @@
     }
 }
 
+void Host::answerBy(double atMs) {
+    answerBy_ = atMs;
+    for (auto& [id, r] : requests_) r.deadline = std::min(r.deadline, atMs);
+    post(AnswerBy{atMs});
+}
+
 // What is still on its way to a node for a request that has ended: it may not begin any more.
 void Host::withdraw(const Request& r) {
     for (const auto send : r.sends) edges_.nodes->withdraw(send);
--- a/src/io/connection.cpp
+++ b/src/io/connection.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t kReadChunk = 256 * 1024, kJoined = 16 * 1024;
+constexpr double kAcceptAgainMs = 20;
 constexpr int kAcceptsAtOnce = 32;  // of one turn of the loop, so that a flood leaves room for others
 
 struct ErrorHolder {
@@ -265,23 +266,44 @@
     GSocketAddress* local = g_socket_get_local_address(socket_, nullptr);
     port_ = local ? g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(local)) : at.port;
     if (local) g_object_unref(local);
+    watch();
+}
+void Listener::watch() {
+    if (!socket_ || source_) return;
     GSource* source = g_socket_create_source(socket_, G_IO_IN, nullptr);
-    g_source_set_callback(source, G_SOURCE_FUNC(+[](GSocket* s, GIOCondition, gpointer self) -> gboolean {
-                              auto* listener = static_cast<Listener*>(self);
-                              for (int i = 0; i < kAcceptsAtOnce; ++i) {
-                                  GSocket* taken = g_socket_accept(s, nullptr, nullptr);
-                                  if (!taken) break;
-                                  listener->accepted_(Connection::adopt(taken));
-                                  if (!listener->socket_) return FALSE;
-                              }
-                              return TRUE;
+    g_source_set_callback(source, G_SOURCE_FUNC(+[](GSocket*, GIOCondition, gpointer self) -> gboolean {
+                              return static_cast<Listener*>(self)->onReady() ? TRUE : FALSE;
                           }),
                           this, nullptr);
     source_ = Source(g_source_attach(source, nullptr));
     g_source_unref(source);
 }
+bool Listener::onReady() {
+    for (int i = 0; i < kAcceptsAtOnce; ++i) {
+        ErrorHolder error;
+        GSocket* taken = g_socket_accept(socket_, nullptr, &error.e);
+        if (!taken) {
+            if (error.wouldBlock() || !error.e) return true;
+            // Out of descriptors, say: who waits stays in the queue, so the socket stays readable, and without
+            // a rest the loop would turn for nothing.
+            pause();
+            again_.arm(kAcceptAgainMs, [this] { resume(); });
+            return false;
+        }
+        accepted_(Connection::adopt(taken));
+        if (!source_) return false;
+    }
+    return true;
+}
+void Listener::pause() { source_.reset(); }
+void Listener::resume() {
+    again_.cancel();
+    watch();
+}
+bool Listener::pending() const { return socket_ && g_socket_condition_check(socket_, G_IO_IN) != 0; }
 Listener::~Listener() { stop(); }
 void Listener::stop() {
+    again_.cancel();
     source_.reset();
     if (!socket_) return;
     g_socket_close(socket_, nullptr);
--- a/src/io/connection.hpp
+++ b/src/io/connection.hpp
@@ -92,11 +92,19 @@
     Listener& operator=(const Listener&) = delete;
     int port() const { return port_; }
     void stop();
+    // What asks to connect waits in the system's queue meanwhile.
+    void pause();
+    void resume();
+    bool pending() const;  // somebody waits to be taken
 
   private:
+    void watch();
+    bool onReady();  // false where it is paused or stopped by it
+
     GSocket* socket_ = nullptr;
     int port_ = 0;
     Source source_;
+    Timer again_;
     std::function<void(std::shared_ptr<Connection>)> accepted_;
 };
 
--- a/src/platform/decide_budget.hpp
+++ b/src/platform/decide_budget.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 
 #include "fronts/http/decide_connections.hpp"
+#include "fronts/http/server.hpp"
 #include "nodes/node_client.hpp"
 
 namespace spokewheel::platform {
@@ -25,6 +26,11 @@
     return caps;
 }
 
+// What waits unread behind open requests has an eighth of the memory.
+inline fronts::http::Server::Caps serverCaps(std::size_t sockets, std::size_t memoryMb) {
+    return {sockets, memoryMb * 1024 * 1024 / 8};
+}
+
 // Requests that can be open at once: each holds a connection. `told` is what the settings say; 0: nothing.
 inline int mostOpen(std::size_t sockets, int told) {
     const int held = static_cast<int>(std::min<std::size_t>(fronts::http::heldForRequests(sockets), 1000000));
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -51,7 +51,8 @@
         peers_ = std::make_unique<peers::PlainLink>(
             c.module.rank, c.peerListen, c.peers, c.peersAll,
             [this](int from, std::string bytes) { host_->onPeer(from, std::move(bytes)); });
-    server_ = std::make_unique<fronts::http::Server>(*host_, configuration_.module, c.listen, c.sockets);
+    server_ = std::make_unique<fronts::http::Server>(*host_, configuration_.module, c.listen,
+                                                     serverCaps(c.sockets, c.memoryMb));
     follow();
     startTimer_.arm(kFirstWordMs, [this] { begin("not heard"); });
     log_.event(Level::Info, "started",
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -783,6 +783,13 @@
         const auto found = byId_.find(started.id);
         if (found != byId_.end()) found->second->started = found->second->kind->stream;
     }
+    void on(const AnswerBy& by) {
+        for (auto& q : pool_) {
+            if (q.owner >= 0 || q.deadline <= by.atMs) continue;
+            q.deadline = by.atMs;
+            deadlines_.insert({q.deadline, q.request.id});
+        }
+    }
     template <class Unused>
     void on(const Unused&) {}  // wakes and probes' results
     // Whether the nodes may have let go of a keyed request that may have run: it may not be repeated any
