--- a/src/fronts/http/decide_connections.hpp
+++ b/src/fronts/http/decide_connections.hpp
@@ -27,12 +27,12 @@
 // is told to stop. Without, it closes as soon as the platform allows: some clients ask once and keep theirs
 // for good. A request that crosses the close is sent again by its client, for nothing of it was read.
 constexpr double kIdleMs = 20000, kIdleShortMs = 2050;
-// How long the end of a client is waited for after its answer was handed to the system, so that a reset doesn't
-// eat it, and how long a slow reader has until then.
+// How long the end of a client is waited for after its answer was handed to the system, so that a reset
+// doesn't eat it, and how long a slow reader has until then.
 constexpr double kLeaveMs = 500, kFlushMs = 5000;
 constexpr std::size_t kLeaveBytes = 256 * 1024;
-// What may come behind an open request, of one connection and of all; and what is dropped of a flood beyond it
-// before its connection is closed, its open request with it.
+// What may come behind an open request, of one connection and of all; and what is dropped of a flood beyond
+// it before its connection is closed, its open request with it.
 constexpr std::size_t kMostAhead = 512 * 1024, kLeastAhead = 32 * 1024, kMostFlood = 8 * 1024 * 1024;
 inline bool aheadFits(std::size_t ofThis, std::size_t ofAll, std::size_t mostOfAll) {
     return ofThis <= kLeastAhead || (ofThis <= kMostAhead && ofAll <= mostOfAll);
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -25,8 +25,9 @@
         std::size_t most = 0;
     };
     struct Caps {
-        std::size_t descriptors = 1024;  // what the process may hold; its clients' share bounds the connections
-        std::size_t ahead = 8 << 20;     // bytes that wait behind open requests, of all connections
+        std::size_t descriptors =
+            1024;                     // what the process may hold; its clients' share bounds the connections
+        std::size_t ahead = 8 << 20;  // bytes that wait behind open requests, of all connections
     };
     // Throws std::runtime_error where it can't listen. Over its clients' share of the descriptors
     // (decide_connections.hpp) a connection gives way.
--- a/src/host/host.hpp
+++ b/src/host/host.hpp
@@ -67,8 +67,8 @@
     std::string submit(Work work, Done done);
     // Its client is gone: nobody waits for the answer any more.
     void abandon(const std::string& id);
-    // What is open, and what is submitted from now on, has its answer by then (on io::nowMs()), whatever time it
-    // came with.
+    // What is open, and what is submitted from now on, has its answer by then (on io::nowMs()), whatever time
+    // it came with.
     void answerBy(double atMs);
     void onList(ListUpdate update);
     void onPeer(int from, std::string bytes);
--- a/src/io/connection.cpp
+++ b/src/io/connection.cpp
@@ -284,8 +284,8 @@
         GSocket* taken = g_socket_accept(socket_, nullptr, &error.e);
         if (!taken) {
             if (error.wouldBlock() || !error.e) return true;
-            // Out of descriptors, say: who waits stays in the queue, so the socket stays readable, and without
-            // a rest the loop would turn for nothing.
+            // Out of descriptors, say: who waits stays in the queue, so the socket stays readable, and
+            // without a rest the loop would turn for nothing.
             pause();
             again_.arm(kAcceptAgainMs, [this] { resume(); });
             return false;
--- a/src/platform/decide_start.hpp
+++ b/src/platform/decide_start.hpp
@@ -4,8 +4,8 @@
 namespace spokewheel::platform {
 
 // The agent is on the same machine and answers at once; an agent with nothing new says an empty line within
-// 2 s. One that stays silent is down: then the list of the configuration has to do, for nine of ten schedulers
-// have to be ready within 6 s.
+// 2 s. One that stays silent is down: then the list of the configuration has to do, for nine of ten
+// schedulers have to be ready within 6 s.
 constexpr double kFirstWordMs = 2500;
 
 }  // namespace spokewheel::platform
--- a/src/registry/json_frames.hpp
+++ b/src/registry/json_frames.hpp
@@ -1,6 +1,6 @@
 // Takes a stream of JSON objects apart: one value after another, over as many lines as its writer likes, and
-// the empty lines between them. Knows depth, strings and escapes, nothing else: what a value means, and whether
-// it is one, is for the parser. Free of I/O and clocks; any split of the input gives the same.
+// the empty lines between them. Knows depth, strings and escapes, nothing else: what a value means, and
+// whether it is one, is for the parser. Free of I/O and clocks; any split of the input gives the same.
 #pragma once
 
 #include <cstddef>
--- a/tests/gateway/platform_list_test.cpp
+++ b/tests/gateway/platform_list_test.cpp
@@ -36,8 +36,7 @@
 registry::Endpoints word(std::int64_t revision, bool complete, const std::string& members) {
     registry::Endpoints out;
     std::string words;
-    EXPECT_TRUE(
-        registry::readEndpoints(listText(static_cast<int>(revision), complete, members), out, words))
+    EXPECT_TRUE(registry::readEndpoints(listText(static_cast<int>(revision), complete, members), out, words))
         << words;
     return out;
 }
@@ -87,9 +86,9 @@
 
 // An entry that can't be read beside good ones: the others count, and nothing new goes to it.
 TEST(NodeBook, AnEntryThatCantBeReadIsNotSentTo) {
-    const auto list = word(2, true,
-                           member("a", "127.0.0.1:1", 0) + "," + member("b", "127.0.0.1:2", 1, "odd") +
-                               R"(,7,{"phase":"up"})");
+    const auto list = word(
+        2, true,
+        member("a", "127.0.0.1:1", 0) + "," + member("b", "127.0.0.1:2", 1, "odd") + R"(,7,{"phase":"up"})");
     EXPECT_EQ(list.unreadable, 3u);
     ASSERT_EQ(list.entries.size(), 2u);
     EXPECT_EQ(list.entries[0].lifecycle, Lifecycle::Ready);
@@ -123,8 +122,8 @@
     EXPECT_EQ(watches(), 1u);  // nothing had to be asked for again
 }
 
-// Guards against a watch that fell silent: told 6 s later at the latest though two tries fail, while half a line
-// that drips says nothing either.
+// Guards against a watch that fell silent: told 6 s later at the latest though two tries fail, while half a
+// line that drips says nothing either.
 TEST_F(ListTest, ASilentWatchIsOpenedAnewInTimeThoughTwoTriesFail) {
     start();
     auto& silent = discovery->last();
--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -369,7 +369,8 @@
         EXPECT_EQ(decide(idle, room, false, 3300), Do::Leave);
     }
     EXPECT_EQ(decide(idle, Room::Plenty, false, 15000), Do::Keep);
-    const Standing written{Standing::Phase::Leaving, 3000, false, 3100}, unwritten{Standing::Phase::Leaving, 0};
+    const Standing written{Standing::Phase::Leaving, 3000, false, 3100},
+        unwritten{Standing::Phase::Leaving, 0};
     Standing unread = idle;
     unread.unread = true;
     for (const auto room : {Room::Plenty, Room::None}) {
