Answers without a length end with their connection; a connection rests 12 ms after its answer

Change: Parser::ended, told by an orderly end alone; a reset stays in doubt, the body stays bounded. 12 ms of rest. The pulse tells node_dials. Tests: AnAnswerWithoutALengthEndsInOrderOrNotAtAll, ALateSecondAnswerReachesNobody.

--- a/src/io/connection.cpp
+++ b/src/io/connection.cpp
@@ -1,5 +1,7 @@
 #include "io/connection.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <charconv>
 #include <stdexcept>
@@ -250,6 +252,11 @@
     queue_.clear();
     queued_ = 0;
 }
+void Connection::reset() {
+    const linger none{1, 0};
+    if (socket_) setsockopt(g_socket_get_fd(socket_), SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    close();
+}
 void Connection::fail(Closed why) {
     const auto keep = shared_from_this();
     close();
--- a/src/io/connection.hpp
+++ b/src/io/connection.hpp
@@ -62,6 +62,7 @@
     bool readable() const;  // bytes or an end wait unread (used to find a kept connection that has ended)
     void shutdownWrite();   // after what is queued has gone out
     void close();           // at once; what is queued is dropped, no callback follows
+    void reset();           // the same, and the other side sees a reset (SO_LINGER of 0)
     bool open() const { return socket_ != nullptr; }
 
   private:
--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -155,6 +155,7 @@
     link->node = f.node;
     link->flight = id;
     link->connection = io::Connection::dial(address);
+    ++dials_;
     links_[f.node].push_back(link);  // making room may have moved the node's list
     f.link = link;
     if (!link->connection->open()) {
@@ -259,6 +260,9 @@
 void NodeClient::onClosed(const LinkPtr& link, io::Closed why) {
     const auto id = link->flight;
     if (!id) return drop(link);
+    // An answer without a length ends with its connection, in order; a reset is never its end.
+    if (why == io::Closed::ByPeer && link->parser.ended() == wire::http::Parser::Got::End)
+        return end(id, flights_.at(id)->result.outcome, false);
     const bool sent = why != io::Closed::NotConnected && mayHaveRun(*link);
     end(id, sent ? Outcome::ConnectionLost : Outcome::NoConnection, false);
 }
--- a/src/nodes/node_client.hpp
+++ b/src/nodes/node_client.hpp
@@ -57,6 +57,7 @@
 
     std::size_t out() const { return flights_.size(); }
     std::size_t connections() const;
+    std::uint64_t dials() const { return dials_; }  // since the start
     // The node is gone or has moved: what is kept to it is closed, what is in use when its exchange ends.
     void retire(const std::string& node);
 
@@ -78,7 +79,7 @@
     Dialect dialect_;
     LinkTrust trust_;
     std::uint64_t buffered_ = 0;
-    std::uint64_t nextId_ = 0;
+    std::uint64_t nextId_ = 0, dials_ = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<Flight>> flights_;
     std::map<std::string, std::vector<LinkPtr>> links_;  // by node, idle and in use
 };
--- a/src/platform/dialect.cpp
+++ b/src/platform/dialect.cpp
@@ -9,7 +9,9 @@
 namespace {
 
 constexpr double kMostFigure = 1e9;
-constexpr double kRestMs = 3;  // on a network whose round trips take a fraction of a millisecond
+// The network's round trips take a fraction of a millisecond, but a second answer may come some milliseconds
+// late, and on a connection in use it would be taken for the next one's.
+constexpr double kRestMs = 12;
 
 // A figure that can't be read is passed over: the answer that carries it is good.
 std::optional<double> figure(const wire::http::Head& head, const char* name) {
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -162,6 +162,7 @@
                 {"steps", text(c.steps)},
                 {"step_ms", text(c.stepMs)},
                 {"node_links", text(nodes_->connections())},
+                {"node_dials", text(nodes_->dials())},
                 {"peers_received", peers_ ? text(peers_->counts().received) : ""},
                 {"peers_unknown", peers_ ? text(peers_->counts().unknown) : ""}},
                io::nowMs());
--- a/src/wire/http/message.cpp
+++ b/src/wire/http/message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace spokewheel::wire::http {
 namespace {
@@ -165,11 +166,20 @@
     const bool empty = kind_ == Kind::Response &&
                        (noBody_ || head_.status < 200 || head_.status == 204 || head_.status == 304);
     if (empty) left_ = 0, chunked = false, known = true;
-    if (kind_ == Kind::Response && !chunked && !known) return bad("response without a length");
+    if (kind_ == Kind::Response && !chunked && !known) {
+        closes_ = true;
+        state_ = State::UntilEnd;
+        return Got::Head;
+    }
     state_ = chunked ? State::ChunkSize : left_ > 0 ? State::Body : State::Done;
     return Got::Head;
 }
 
+Parser::Got Parser::ended() {
+    if (state_ == State::UntilEnd) state_ = State::Done;
+    return state_ == State::Done ? Got::End : state_ == State::Broken ? Got::Bad : Got::More;
+}
+
 Parser::Got Parser::next(std::string_view& in, std::string_view& body) {
     for (;;) switch (state_) {
             case State::Broken:
@@ -189,6 +199,12 @@
                 if (!field(line_)) return bad("malformed field line");
                 line_.clear();
                 break;
+            case State::UntilEnd:
+                if (in.empty()) return Got::More;
+                seen_ += in.size();
+                if (seen_ > limits_.body) return bad("body too large");
+                body = std::exchange(in, {});
+                return Got::Body;
             case State::Body:
             case State::Chunk: {
                 if (in.empty()) return Got::More;
--- a/src/wire/http/message.hpp
+++ b/src/wire/http/message.hpp
@@ -46,6 +46,9 @@
     const std::string& error() const { return error_; }
     // The answer to HEAD has no body whatever its fields say (RFC 9112, 6.3).
     void expectNoBody() { noBody_ = true; }
+    // The other side ended in order: End where that is how the body ends (a response with neither length nor
+    // chunks; RFC 9112, 6.3), else More or Bad. A reset is never an end, and not to be told here.
+    Got ended();
     // Bytes of the body still to come, where a length was given.
     std::uint64_t remaining() const { return left_; }
     bool atStart() const { return state_ == State::Start && line_.empty(); }
@@ -54,7 +57,7 @@
     void reset();
 
   private:
-    enum class State { Start, Fields, Body, ChunkSize, Chunk, ChunkEnd, Trailer, Done, Broken };
+    enum class State { Start, Fields, Body, UntilEnd, ChunkSize, Chunk, ChunkEnd, Trailer, Done, Broken };
     bool takeLine(std::string_view& in);
     Got bad(std::string why);
     bool startLine();
--- a/tests/gateway/platform_attempt_test.cpp
+++ b/tests/gateway/platform_attempt_test.cpp
@@ -107,6 +107,52 @@
     EXPECT_EQ(disk->taken.size(), 1u);
 }
 
+// An answer with neither length nor chunks ends with its connection: in order it is whole, by a reset it is
+// not, and what may run only once is not repeated then.
+TEST_F(HeldDial, AnAnswerWithoutALengthEndsInOrderOrNotAtAll) {
+    discovery->last().say(chunk(listText(43, true, member("s-1", disk->address(), 0))));
+    const std::string answer = "HTTP/1.1 200 OK\r\n\r\nwhole";
+    for (const bool orderly : {true, false}) {
+        auto c = client();
+        disk->onRequest = [&](Taken& t) { t.say(answer); };
+        const auto before = disk->requests();
+        c->say(requestText({.method = "PUT",
+                            .path = "/once",
+                            .klass = "once",
+                            .id = orderly ? "in-order" : "reset",
+                            .body = "b"}));
+        ASSERT_TRUE(turn([&] { return disk->requests() == before + 1; }));
+        pass(50);
+        EXPECT_FALSE(c->answered());  // it could go on
+        if (orderly) disk->last().connection->shutdownWrite();
+        else disk->last().connection->reset();
+        ASSERT_TRUE(turn([&] { return c->answered(); }));
+        EXPECT_EQ(c->status(), orderly ? 200 : 502);
+        EXPECT_EQ(c->got.find("whole") != std::string::npos, orderly);
+        EXPECT_EQ(disk->requests(), before + 1);
+    }
+}
+
+// Guards against a second answer some milliseconds late that is taken for the next one's.
+TEST_F(HeldDial, ALateSecondAnswerReachesNobody) {
+    discovery->last().say(chunk(listText(43, true, member("s-1", disk->address(), 0))));
+    auto c = client(), d = client();
+    c->say(requestText({.id = "a"}));
+    ASSERT_TRUE(turn([&] { return disk->requests() == 1; }));
+    auto& first = disk->last();
+    first.say(served("first"));
+    ASSERT_TRUE(turn([&] { return c->answered(); }));
+    pass(7);
+    d->say(requestText({.id = "b"}));
+    ASSERT_TRUE(turn([&] { return disk->requests() == 2; }));
+    first.say(served("first"));
+    pass(20);
+    EXPECT_FALSE(d->answered());
+    disk->last().say(served("second"));
+    ASSERT_TRUE(turn([&] { return d->answered(); }));
+    EXPECT_NE(d->got.find("second"), std::string::npos);
+}
+
 // Guards against a body that goes on flowing to a disk server though nobody waits for it: written in part it
 // never ran, and stopping it has no effect.
 TEST(Withdraw, WhatIsWrittenInPartStopsAndNeverRan) {
