No answer ahead of its request; extra attempts are counted to when they may begin; exit 2 at a bad start

Lines: NodeClient::onData took a 200 that came before the last byte of the request was written for its answer (a late second answer on a connection in use looks so); extraAllowed counted attempts at their decision, though a dial may let one begin a quarter of a second later and so within the window of the next; Connection fields with more than one token were passed over. Tests: AnAnswerAheadOfTheWholeRequestIsNone; the http test for tokens. A bad configuration ends with 2, as the issue asks.

--- a/apps/spokewheeld.cpp
+++ b/apps/spokewheeld.cpp
@@ -47,7 +47,7 @@
             return runPlatform();
         } catch (const std::exception& e) {
             std::fprintf(stderr, "spokewheeld: %s\n", e.what());
-            return 1;
+            return 2;
         }
     if (file.empty()) {
         std::fprintf(stderr, "spokewheeld: --config FILE or --platform is wanted\n");
--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -232,6 +232,11 @@
                     link->parser.reset();
                     break;
                 }
+                // Before the last byte of the request was written nothing can have run: what says otherwise
+                // belongs to no request, or to the one before.
+                if (dialect_.runsOnlyWhole && !mayHaveRun(*link) &&
+                    dialect_.read(head).outcome != Outcome::TurnedAway)
+                    return end(id, Outcome::NotSent, false);
                 // One that is longer than it may be is not waited for: it could go on for ever.
                 if (link->parser.remaining() > f.exchange->mostAnswer)
                     return end(id, Outcome::ServerError, false);
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -32,6 +32,7 @@
 constexpr int kKnownFrom = 10;                          // answers from which a node's times are known
 constexpr double kGiveUpPart = 0.48;  // of a request's time: one not sent by then is refused
 constexpr double kCrowdedPart = 0.5;  // of the requests that can be open at once
+constexpr double kBeginLateMs = 500;  // an attempt begins as much later than it is decided, at most
 constexpr double kForgetMs = 30000;   // idle volumes and unheard peers are dropped; parts are full by then
 constexpr double kAsleepMs = 8000;    // without a request a host lends of its own half too
 constexpr std::size_t kGuestsMost = 4096;  // volumes known, beyond which one from a peer's word is not taken
@@ -636,7 +637,8 @@
     bool extraAllowed() {
         if (set_.extraSpanMs <= 0) return true;
         const double from = now_ - set_.extraSpanMs;
-        return extra_.since(from - 1) + 1 <= set_.extraFloor + set_.extraShare * taken_.since(from);
+        return extra_.since(from - kBeginLateMs) + 1 <=
+               set_.extraFloor + set_.extraShare * taken_.since(from);
     }
     void send(Held& q, Node& n) {
         // A trial at a silent node is bounded where it may be repeated, so that it can be tried again. Should
--- a/src/wire/http/message.cpp
+++ b/src/wire/http/message.cpp
@@ -24,6 +24,14 @@
     while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
     return text;
 }
+bool listed(std::string_view list, std::string_view token) {
+    for (std::size_t at = 0; at <= list.size();) {
+        const auto end = std::min(list.find(',', at), list.size());
+        if (same(trimmed(list.substr(at, end - at)), token)) return true;
+        at = end + 1;
+    }
+    return false;
+}
 template <class T>
 bool number(std::string_view text, T& value, int base = 10) {
     if (text.empty()) return false;
@@ -149,8 +157,10 @@
 Parser::Got Parser::headDone() {
     bool chunked = false, known = false;
     for (const auto& [name, value] : head_.fields) {
-        if (same(name, "connection") && same(value, "close")) closes_ = true;
-        if (same(name, "connection") && same(value, "keep-alive")) closes_ = false;
+        if (same(name, "connection")) {  // a list of tokens, of which "close" wins (RFC 9110, 7.6.1)
+            if (listed(value, "close")) closes_ = true;
+            else if (listed(value, "keep-alive")) closes_ = false;
+        }
         if (same(name, "transfer-encoding")) {
             if (!same(value, "chunked") || chunked) return bad("transfer-encoding other than chunked");
             chunked = true;
--- a/tests/gateway/platform_attempt_test.cpp
+++ b/tests/gateway/platform_attempt_test.cpp
@@ -153,6 +153,32 @@
     EXPECT_NE(d->got.find("second"), std::string::npos);
 }
 
+// Guards against an answer ahead of the whole request: nothing can have run yet, so it is no answer to it,
+// and the request goes again, though it may run only once.
+TEST(Early, AnAnswerAheadOfTheWholeRequestIsNone) {
+    Server node;
+    nodes::NodeClient pool(
+        {}, platformDialect([&](const std::string&,
+                                io::Address& out) { return io::parseNumericAddress(node.address(), out); },
+                            false));
+    auto x = std::make_shared<host::Exchange>();
+    x->method = "PUT", x->target = "/", x->mostAnswer = 1000;
+    x->body = std::make_shared<const std::string>(64 * 1024 * 1024, 'b');  // more than the system holds
+    for (const bool turnedAway : {false, true}) {
+        std::vector<Outcome> ended;
+        const auto before = node.taken.size();
+        pool.send("s", x, {}, 5000, [&](host::AttemptResult r) { ended.push_back(r.outcome); });
+        ASSERT_TRUE(turn([&] { return node.taken.size() == before + 1; }));
+        node.taken.back()->connection->pauseReading();
+        pass(20);
+        node.taken.back()->say(turnedAway
+                                   ? "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+                                   : served("of another"));
+        ASSERT_TRUE(turn([&] { return ended.size() == 1; }));
+        EXPECT_EQ(ended[0], turnedAway ? Outcome::TurnedAway : Outcome::NotSent);
+    }
+}
+
 // Guards against a body that goes on flowing to a disk server though nobody waits for it: written in part it
 // never ran, and stopping it has no effect.
 TEST(Withdraw, WhatIsWrittenInPartStopsAndNeverRan) {
--- a/tests/wire/http_test.cpp
+++ b/tests/wire/http_test.cpp
@@ -61,6 +61,8 @@
         EXPECT_NE(found(Parser::Kind::Request, head + fields + "\r\nabc", 1000).find("BAD"),
                   std::string::npos)
             << fields;
+    same(Parser::Kind::Response, "HTTP/1.1 200 OK\r\nConnection: x , Close\r\nContent-Length: 0\r\n\r\n",
+         "H(200)Connection=x , Close;Content-Length=0;E!");
     // An answer without a length has no end among its bytes, and is bounded.
     same(Parser::Kind::Response, "HTTP/1.1 200 OK\r\n\r\nabc", "H(200)abc");
     EXPECT_NE(
