A cold node is used by many hosts without peers: a part under one request is saved up for

Seen by a test of the module, N schedulers on one clock, one cold node, no messages: with 100 and 300 hosts and no peers nothing at all was sent to it in the 16 s of its cold time (each host's part of what it bears is under one request, and hasRoom wants a whole one); a node taken for dead after three dropped connections was never tried again, list or no list. With 1 to 30 hosts 198 to 352 units. Lines: hasRoom's comparison with coldUnits * part; ListUpdate left 'suspect' as it was though the new start explains the drops. Change: lotFalls saves up from a start drawn at random, so that all together send as many as they may; what is done adds as before. Measured (Fleet test, simulated): 100 hosts 576 units, 300 hosts 448 in the cold time, at most 126 and 94 in one fall time, 11 to 14 requests under N + 2 root N + 2, N by what the node can do. Ruled out by the same test: a sum beyond the bound with 1 to 300 hosts, with peers that hear nothing, too.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -112,7 +112,10 @@
             n.zone = entry.zone;
             n.shard = entry.shard;
             n.lifecycle = entry.lifecycle;
-            if (entry.cameUpMs > 0) n.coldFrom = std::max(n.coldFrom, entry.cameUpMs);
+            if (entry.cameUpMs > n.coldFrom) {  // that is why it dropped connections
+                n.coldFrom = entry.cameUpMs;
+                n.suspect = false, n.dropped = 0;
+            }
             named.insert(entry.node);
         }
         if (update.form != ListForm::Delta)
@@ -273,12 +276,27 @@
             // A keeper started just now may have sent before its start what still counts.
             const bool unsure = shared_ && now_ < startedAt_ + set_.fallMs;
             if (unsure || n.inflight >= std::max(1.0, std::floor(age * n.window))) return false;
-            const double from = now_ - set_.fallMs, beyond = 1 - 1 / std::max(1.0, set_.tipMultiple);
+            if (const double mine = grown * set_.coldUnits * part; !shared_ && mine < set_.topUnits)
+                return lotFalls(n, units, mine);
+            const double from = now_ - set_.fallMs, beyond = beyondPart();
             return n.coldSent.since(from) + units <=
                    grown * set_.coldUnits * part + beyond * n.coldDone.since(from);
         }
         return n.inflight < std::floor(n.window);
     }
+    double beyondPart() const { return 1 - 1 / std::max(1.0, set_.tipMultiple); }
+    // Where this host's part of what a cold node bears is under one request, it saves up for it, from a start
+    // drawn at random, so that of all hosts as many send as all together may. One that was never told as cold
+    // is tried now and then, the rarer the more hosts try it.
+    bool lotFalls(Node& n, double units, double mine) {
+        if (n.suspect && now_ >= n.coldFrom + set_.coldMs)
+            return n.inflight < 1 && now_ >= n.lastSend + kCanaryMs * (1 + set_.hosts / kWindowMost);
+        if (n.lotOf != n.coldFrom) n.lot = uniform() * set_.topUnits, n.lotOf = n.coldFrom;
+        else n.lot += mine * (now_ - n.lotAt) / set_.fallMs;
+        n.lot = std::min(n.lot, set_.topUnits);
+        n.lotAt = now_;
+        return n.lot >= units;
+    }
     void learn(Node& n, double tookMs, double units, double aimMs, double sentAt) {
         const double x = tookMs / std::max(1.0, units);
         // A running mean against the lowest that it lately had: a single short answer is luck, not room.
@@ -662,7 +680,7 @@
         n.unitsOut += q.request.units;
         n.unansweredFrom = std::min(n.unansweredFrom, now_);
         n.lastSend = now_;
-        if (cold(n)) n.coldSent.entries.push_back({now_, q.request.units});
+        if (cold(n)) n.coldSent.entries.push_back({now_, q.request.units}), n.lot -= q.request.units;
         n.recentKeys = {n.recentKeys[1], q.keyMark()};
         unhold(q);
         if (q.owner >= 0) {
@@ -702,6 +720,7 @@
             }
             learn(n, verdict.tookMs, q.request.units, std::max(1.0, q.kind->aimMs), s.at);
             if (cold(n)) n.coldDone.entries.push_back({now_, q.request.units});
+            if (cold(n)) n.lot += beyondPart() * q.request.units;
             if (q.owner < 0) rateOf(*q.volume), q.volume->served += q.request.units;
         } else if (was(Outcome::TurnedAway)) {
             n.window = std::max(kWindowLeast, n.window / 2);
