Fields for the disk server go on to it; trials and lots at a cold node keep within what all may send

Line: decodeRequest passed X-Request-ID alone; every field that isn't known here is the disk server's (RFC 9110, 7.6). Two causes, both shown by the Fleet test once work waits at each host all the time: the saving-up of the last commit let each host send at once (lotFalls; 'measured' there was with too little work), and hasRoom let each host try a silent node every 500 ms past the budget while it was cold: 24 hosts, 90 requests in a fall time of which 36 are allowed. Now a lot is drawn anew in each fall time, and a trial at a cold node draws on the same budget. Tests: FieldsThatAreNotKnownHereGoOnToTheDiskServer; Fleet with work waiting everywhere, 1 to 300 hosts, with and without peers.

--- a/src/fronts/http/decode_request.cpp
+++ b/src/fronts/http/decode_request.cpp
@@ -132,6 +132,21 @@
     }
 }
 
+// Fields that aren't known here are for the disk server, a key by which it knows repeats among them: all go
+// on but those of this connection, of its framing, and those that each attempt says anew (RFC 9110, 7.6).
+bool passesOn(const wire::http::Head& head, std::string_view name) {
+    for (const auto* own :
+         {"Host", "Content-Length", "X-Request-ID", "X-Timeout-Ms", "Expect", "Connection", "Keep-Alive",
+          "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade"})
+        if (wire::http::sameName(name, own)) return false;
+    for (const auto& [key, value] : head.fields) {
+        if (!wire::http::sameName(key, "Connection")) continue;
+        for (auto left = std::string_view(value); !left.empty();)
+            if (wire::http::sameName(cut(left, ','), name)) return false;
+    }
+    return true;
+}
+
 }  // namespace
 
 Decoded decodeRequest(const wire::http::Head& head, const Settings& settings) {
@@ -147,6 +162,8 @@
     exchange->method = head.method;
     exchange->target = head.target;
     exchange->fields.emplace_back("X-Request-ID", out.id);
+    for (const auto& field : head.fields)
+        if (passesOn(head, field.first)) exchange->fields.push_back(field);
     exchange->mostAnswer = kMostAnswer;
     out.work.name = out.id;
     out.work.exchange = std::move(exchange);
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -266,8 +266,11 @@
     bool hasRoom(Node& n, double units) {
         if (n.lifecycle != Lifecycle::Ready || now_ < n.notBefore) return false;
         const double part = partOf(n.shard);
-        if (silent(n) || (part <= 0 && !cold(n)))
-            return n.inflight < (part > 0 ? n.window : kWindowLeast) && now_ >= n.lastSend + kCanaryMs;
+        if (silent(n) || (part <= 0 && !cold(n))) {
+            const double most = part > 0 ? n.window : kWindowLeast;
+            if (n.inflight >= most || now_ < n.lastSend + kCanaryMs) return false;
+            if (!cold(n)) return true;  // a trial at a cold one draws on what all hosts may send there
+        }
         if (cold(n)) {
             // What all hosts may send in any case grows with the capacity that the rules promise at this
             // age; own completions add less than they were, for repeats and writes cost less than counted.
@@ -276,26 +279,25 @@
             // A keeper started just now may have sent before its start what still counts.
             const bool unsure = shared_ && now_ < startedAt_ + set_.fallMs;
             if (unsure || n.inflight >= std::max(1.0, std::floor(age * n.window))) return false;
-            if (const double mine = grown * set_.coldUnits * part; !shared_ && mine < set_.topUnits)
-                return lotFalls(n, units, mine);
-            const double from = now_ - set_.fallMs, beyond = beyondPart();
-            return n.coldSent.since(from) + units <=
-                   grown * set_.coldUnits * part + beyond * n.coldDone.since(from);
+            const double from = now_ - set_.fallMs, beyond = 1 - 1 / std::max(1.0, set_.tipMultiple);
+            const double mine = grown * set_.coldUnits * part, sent = n.coldSent.since(from);
+            return sent + units <= mine + beyond * n.coldDone.since(from) ||
+                   (!shared_ && sent <= 0 && lotFalls(n, units, mine));
         }
         return n.inflight < std::floor(n.window);
     }
-    double beyondPart() const { return 1 - 1 / std::max(1.0, set_.tipMultiple); }
-    // Where this host's part of what a cold node bears is under one request, it saves up for it, from a start
-    // drawn at random, so that of all hosts as many send as all together may. One that was never told as cold
-    // is tried now and then, the rarer the more hosts try it.
+    // Where this host's part of what a cold node bears is under one request, a lot drawn anew in each fall
+    // time decides whether it sends one all the same: half as many on the mean as all together may, for a
+    // burst can meet two draws. One that was never told as cold is tried now and then, the rarer the more
+    // hosts there are.
     bool lotFalls(Node& n, double units, double mine) {
         if (n.suspect && now_ >= n.coldFrom + set_.coldMs)
-            return n.inflight < 1 && now_ >= n.lastSend + kCanaryMs * (1 + set_.hosts / kWindowMost);
-        if (n.lotOf != n.coldFrom) n.lot = uniform() * set_.topUnits, n.lotOf = n.coldFrom;
-        else n.lot += mine * (now_ - n.lotAt) / set_.fallMs;
-        n.lot = std::min(n.lot, set_.topUnits);
-        n.lotAt = now_;
-        return n.lot >= units;
+            return now_ >= n.lastSend + kCanaryMs * (1 + set_.hosts / kWindowMost);
+        if (now_ >= n.lotUntil) {
+            n.lotUntil = now_ + set_.fallMs * (n.lotUntil < 0 ? uniform() : 1);
+            n.lot = uniform();
+        }
+        return n.lot * 2 * units < mine;
     }
     void learn(Node& n, double tookMs, double units, double aimMs, double sentAt) {
         const double x = tookMs / std::max(1.0, units);
@@ -680,7 +682,7 @@
         n.unitsOut += q.request.units;
         n.unansweredFrom = std::min(n.unansweredFrom, now_);
         n.lastSend = now_;
-        if (cold(n)) n.coldSent.entries.push_back({now_, q.request.units}), n.lot -= q.request.units;
+        if (cold(n)) n.coldSent.entries.push_back({now_, q.request.units});
         n.recentKeys = {n.recentKeys[1], q.keyMark()};
         unhold(q);
         if (q.owner >= 0) {
@@ -720,7 +722,6 @@
             }
             learn(n, verdict.tookMs, q.request.units, std::max(1.0, q.kind->aimMs), s.at);
             if (cold(n)) n.coldDone.entries.push_back({now_, q.request.units});
-            if (cold(n)) n.lot += beyondPart() * q.request.units;
             if (q.owner < 0) rateOf(*q.volume), q.volume->served += q.request.units;
         } else if (was(Outcome::TurnedAway)) {
             n.window = std::max(kWindowLeast, n.window / 2);
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -34,7 +34,7 @@
     bool suspect = false;
     int inflight = 0, samples = 0, dropped = 0;
     double unitsOut = 0, heat = 0, heatTold = 0, heatToldAt = -1e18;
-    double lot = 0, lotAt = 0, lotOf = -1e18;  // saved up for a cold node; since when, of which start
+    double lot = 1, lotUntil = -1e18;  // drawn for a cold node, and for how long it counts
     UnitLog coldSent, coldDone;
     std::array<std::int64_t, 2> recentKeys = {-1, -1};
 };
--- a/tests/gateway/platform_orders_test.cpp
+++ b/tests/gateway/platform_orders_test.cpp
@@ -1,6 +1,6 @@
-// Random orders of everything that can happen to one scheduler, by seed: clients that ask in pieces, behind each
-// other and leave; disk servers that serve, refuse, break off, hang, drain, go and return; lists and moves of the
-// list service; the word to stop. The rules are judged by what the clients and disk servers saw.
+// Random orders of everything that can happen to one scheduler, by seed: clients that ask in pieces, behind
+// each other and leave; disk servers that serve, refuse, break off, hang, drain, go and return; lists and
+// moves of the list service; the word to stop. The rules are judged by what the clients and disk servers saw.
 #include <cstdlib>
 #include <random>
 #include <set>
@@ -10,8 +10,8 @@
 namespace spokewheel::platform::testing {
 namespace {
 
-// A drain counts as told when it is written, watch open or not, and a watch may just have been reset: half of the
-// settings' grace of 2 s has to do for a new one.
+// A drain counts as told when it is written, watch open or not, and a watch may just have been reset: half of
+// the settings' grace of 2 s has to do for a new one.
 constexpr double kGraceMs = 1000, kLeftMs = 100, kLateMs = 500;
 
 struct Asked {
@@ -105,25 +105,25 @@
         a.ttl = 200 + draw(700);
         a.at = io::nowMs();
         t.asked.push_back(a);
-        return requestText({.method = a.once ? "PUT" : "GET",
-                            .path = a.once ? "/once" : "/read",
-                            .klass = a.once ? "once" : "read",
-                            .id = a.id,
-                            .timeout = std::to_string(static_cast<int>(a.ttl)),
-                            .io = "volume=00000003b4d60021,units=2,shard=" + std::to_string(draw(3)) +
-                                  ",hosts=1",
-                            .body = a.once ? std::string(static_cast<std::size_t>(draw(2000)), 'b') : ""});
+        return requestText(
+            {.method = a.once ? "PUT" : "GET",
+             .path = a.once ? "/once" : "/read",
+             .klass = a.once ? "once" : "read",
+             .id = a.id,
+             .timeout = std::to_string(static_cast<int>(a.ttl)),
+             .io = "volume=00000003b4d60021,units=2,shard=" + std::to_string(draw(3)) + ",hosts=1",
+             .body = a.once ? std::string(static_cast<std::size_t>(draw(2000)), 'b') : ""});
     }
     void act() {
         const int what = draw(24);
-        if (what < 2 && talkers_.size() < 40)
-            return talkers_.push_back(std::make_unique<Talker>(port));
+        if (what < 2 && talkers_.size() < 40) return talkers_.push_back(std::make_unique<Talker>(port));
         if (what < 16) {
             if (talkers_.empty()) return;
             auto& t = *talkers_[static_cast<std::size_t>(draw(static_cast<int>(talkers_.size())))];
             if (t.stopped || t.client.closed) return;
             if (!t.unsaid.empty()) {
-                const auto n = std::min<std::size_t>(t.unsaid.size(), static_cast<std::size_t>(1 + draw(400)));
+                const auto n =
+                    std::min<std::size_t>(t.unsaid.size(), static_cast<std::size_t>(1 + draw(400)));
                 t.client.say(t.unsaid.substr(0, n));
                 t.unsaid.erase(0, n);
                 if (t.unsaid.empty()) t.asked.back().at = io::nowMs();  // its time counts from its last byte
--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -87,6 +87,29 @@
     EXPECT_EQ(n, 1);
 }
 
+// Guards against a keyed request that reaches its disk server without the key by which that knows repeats:
+// what isn't known here goes on, what belongs to the client's connection doesn't, and nothing is said twice.
+TEST_F(PlatformTest, FieldsThatAreNotKnownHereGoOnToTheDiskServer) {
+    start();
+    auto c = client();
+    auto text = requestText({.method = "PUT", .path = "/once", .klass = "once", .id = "a", .body = "b"});
+    text.insert(text.find("X-Plan"),
+                "Idempotency-Key: k-1\r\nX-Odd:  two words \r\nX-Hop: h\r\nTE: trailers\r\n"
+                "Connection: keep-alive, x-hop\r\nExpect: 100-continue\r\n");
+    c->say(text);
+    ASSERT_TRUE(turn([&] { return disk->requests() == 1; }));
+    const auto& head = disk->last().heads[0];
+    ASSERT_TRUE(head.find("Idempotency-Key") && head.find("X-Odd"));
+    EXPECT_EQ(*head.find("Idempotency-Key"), "k-1");
+    EXPECT_EQ(*head.find("X-Odd"), "two words");
+    for (const auto* own : {"X-Hop", "TE", "Connection", "Expect"}) EXPECT_FALSE(head.find(own)) << own;
+    for (const auto* single : {"X-Request-ID", "X-Timeout-Ms", "Host", "Content-Length"}) {
+        int n = 0;
+        for (const auto& [name, value] : head.fields) n += wire::http::sameName(name, single);
+        EXPECT_EQ(n, 1) << single;
+    }
+}
+
 // Guards against an answer that reaches the next request: what a disk server says right after its answer, in
 // a piece of its own, finds nobody on the connection.
 TEST_F(PlatformTest, WhatComesRightAfterAnAnswerReachesNobody) {
--- a/tests/module/fleet_test.cpp
+++ b/tests/module/fleet_test.cpp
@@ -73,11 +73,13 @@
 TEST(Fleet, AColdNodeIsUsedByManyHostsAndDoesNotFall) {
     for (const int hosts : {1, 3, 24, 30, 100, 300})
         for (const bool peers : {false, true}) {
-            const auto sum = coldNode(hosts, peers, 40, 20);
-            printf("%d %d most %g all %g worst %g\n", hosts, peers, sum.most, sum.all, sum.worst);
-            EXPECT_LE(sum.worst, 0) << hosts << (peers ? " with peers" : "");
-            if (!peers) {
-                EXPECT_GT(sum.all, 60) << hosts;
+            // At twice what it does when warm, and with work that waits at each host all the time.
+            for (const double offered : {40.0, 40.0 + 6 * hosts}) {
+                const auto sum = coldNode(hosts, peers, offered, 20);
+                EXPECT_LE(sum.worst, 0) << hosts << " hosts, " << offered << (peers ? " with peers" : "");
+                if (!peers) {
+                    EXPECT_GT(sum.all, 60) << hosts << " hosts, " << offered;
+                }
             }
         }
 }
