--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -8,6 +8,7 @@
 #include "platform/configuration.hpp"
 #include "platform/dialect.hpp"
 #include "registry/endpoints.hpp"
+#include "registry/json_frames.hpp"
 
 using namespace spokewheel;
 
@@ -45,12 +46,32 @@
         std::abort();
 }
 
+// What the stream of the list service is taken for, in parts of `step` bytes.
+std::string framed(std::string_view text, std::size_t step) {
+    using Got = registry::JsonFrames::Got;
+    constexpr std::size_t kMost = 512;
+    registry::JsonFrames frames(kMost);
+    std::string out;
+    for (std::size_t at = 0; at < text.size(); at += step) {
+        auto in = text.substr(at, step);
+        for (auto got = frames.next(in); got != Got::More; got = frames.next(in)) {
+            if (got == Got::Bad) return out + "!";
+            if (frames.value().size() > kMost) std::abort();
+            out += got == Got::Beat ? "|" : frames.value();
+        }
+    }
+    return out;
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     const std::string text(reinterpret_cast<const char*>(data), size);
     heads(text, wire::http::Parser::Kind::Request);
     heads(text, wire::http::Parser::Kind::Response);
+    const auto whole = framed(text, text.size() + 1);
+    for (const std::size_t step : {1, 7})
+        if (framed(text, step) != whole) std::abort();
     registry::Endpoints list;
     std::string words;
     if (registry::readEndpoints(text, list, words)) {
