A second word to stop begins the end at once and still answers what is open

Line: PlatformDaemon::stop ended the loop on a second SIGTERM, with what was taken and not answered. Now it drains at once. Test: ASecondWordToStopStillAnswersWhatIsOpen.

--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -127,16 +127,19 @@
 }
 
 void PlatformDaemon::stop() {
-    if (std::exchange(stopping_, true)) return loop_.stop();
+    if (std::exchange(stopping_, true)) return drain();
     log_.event(Level::Info, "stopping", {{"open", std::to_string(host_->open())}}, io::nowMs());
     const auto plan = stopPlan(configuration_.module.classes);
     server_->unready();
     host_->answerBy(io::nowMs() + plan.answerByMs);
-    stopTimer_.arm(plan.closeFromMs, [this] {
-        server_->drain([this] {
-            log_.event(Level::Info, "stopped", {{"open", std::to_string(host_->open())}}, io::nowMs());
-            loop_.stop();
-        });
+    stopTimer_.arm(plan.closeFromMs, [this] { drain(); });
+}
+
+void PlatformDaemon::drain() {
+    stopTimer_.cancel();
+    server_->drain([this] {
+        log_.event(Level::Info, "stopped", {{"open", std::to_string(host_->open())}}, io::nowMs());
+        loop_.stop();
     });
 }
 
--- a/src/platform/platform_daemon.hpp
+++ b/src/platform/platform_daemon.hpp
@@ -23,7 +23,8 @@
     ~PlatformDaemon();
     // The configuration was replaced: read whole; a bad one is told and changes nothing.
     void reload();
-    // First call: goes on as decide_stop.hpp tells, then the loop stops. Second: at once.
+    // First call: goes on as decide_stop.hpp tells, then the loop stops. Second: ends as soon as all that is
+    // open has its answer.
     void stop();
 
   private:
@@ -31,6 +32,7 @@
     void begin(const char* why);
     void recall();
     void onEndpoints(registry::Endpoints list, ListForm form);
+    void drain();
     void pulse();
 
     std::string file_;
--- a/tests/gateway/platform_close_test.cpp
+++ b/tests/gateway/platform_close_test.cpp
@@ -222,6 +222,22 @@
     ASSERT_TRUE(turn([&] { return late.read(), late.answers() == 1; }));
 }
 
+// Guards against a second word to stop that drops what is open: the end begins at once, and the answer comes.
+TEST_F(CloseTest, ASecondWordToStopStillAnswersWhatIsOpen) {
+    start();
+    PlainClient open(port), rests(port);
+    open.say(text("a"));
+    ASSERT_TRUE(turn([&] { return seen("a"); }));
+    daemon->stop();
+    daemon->stop();
+    ASSERT_TRUE(turn([&] { return rests.read(), rests.ended || rests.reset; }, 1500));
+    EXPECT_FALSE(rests.reset);
+    EXPECT_EQ(open.answers(), 0);
+    disk->last().say(served("x"));
+    ASSERT_TRUE(turn([&] { return open.read(), open.ended || open.reset; }));
+    EXPECT_EQ(open.answers(), 1);
+}
+
 // Guards against what is open at a planned stop and allows itself more time than the kill does.
 TEST_F(CloseTest, WhatIsOpenAtAStopHasItsAnswerBeforeTheKill) {
     start();
