--- a/tests/module/fleet_test.cpp
+++ b/tests/module/fleet_test.cpp
@@ -17,8 +17,8 @@
     double worst = -1e18;      // by how many units a window went beyond N + 2 root N + 2
 };
 
-// A shard's node comes back cold under the requests of all hosts. It does one after another, at a rate that grows
-// from the cold share to the whole of `rate` units a second; no message between hosts arrives.
+// A shard's node comes back cold under the requests of all hosts. It does one after another, at a rate that
+// grows from the cold share to the whole of `rate` units a second; no message between hosts arrives.
 Sum coldNode(int hosts, bool peers, double offered, double rate) {
     auto settings = plainSettings();
     settings.hosts = hosts;
@@ -68,8 +68,8 @@
     return sum;
 }
 
-// Guards against a cold node that falls under the sum of many hosts, of which each sees little; and against one
-// that nobody dares to use, because each host's part of what it bears is under one request.
+// Guards against a cold node that falls under the sum of many hosts, of which each sees little; and against
+// one that nobody dares to use, because each host's part of what it bears is under one request.
 TEST(Fleet, AColdNodeIsUsedByManyHostsAndDoesNotFall) {
     for (const int hosts : {1, 3, 24, 30, 100, 300})
         for (const bool peers : {false, true}) {
