A start during an outage of discovery sends to no server that no peer or agent confirms

Change: without the agent's word nothing is sent by that list alone. Peers that heard are asked after 0.3 s and confirm what is usable, with ages for slow start; ready after 5 s in any case, refusing what can't be sent. Holds for any length of outage: no wait stands for knowledge any more.

--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -34,7 +34,7 @@
   SOURCES src/wire/rsync/bytes.cpp src/wire/rsync/mux.cpp src/wire/rsync/file_list.cpp src/wire/rsync/tokens.cpp
           src/wire/rsync/options.cpp src/wire/rsync/delta.cpp
   LINKS PkgConfig::XXHASH PkgConfig::ZSTD)
-spokewheel_layer(wire_peer DIRS src/wire/peer SOURCES src/wire/peer/datagram.cpp)
+spokewheel_layer(wire_peer DIRS src/wire/peer SOURCES src/wire/peer/datagram.cpp src/wire/peer/membership.cpp)
 spokewheel_layer(io DIRS src/io SOURCES src/io/loop.cpp src/io/connection.cpp LINKS PkgConfig::GIO)
 spokewheel_layer(config DIRS src/config SOURCES src/config/checker.cpp src/config/settings.cpp
   LINKS spokewheel yaml-cpp)
@@ -46,7 +46,7 @@
   LINKS sw_host sw_catalogue sw_wire_http)
 spokewheel_layer(registry DIRS src/registry
   SOURCES src/registry/list_file.cpp src/registry/list_http.cpp src/registry/endpoints.cpp src/registry/node_book.cpp src/registry/watch_http.cpp
-  LINKS sw_config sw_io sw_wire_http nlohmann_json::nlohmann_json)
+  LINKS sw_config sw_io sw_wire_http sw_wire_peer nlohmann_json::nlohmann_json)
 spokewheel_layer(peers DIRS src/peers SOURCES src/peers/peer_link.cpp src/peers/plain_link.cpp LINKS sw_wire_peer sw_io)
 spokewheel_layer(fronts DIRS src/fronts
   SOURCES src/fronts/store.cpp src/fronts/patience.cpp src/fronts/rsync/channel.cpp src/fronts/rsync/listing.cpp
@@ -59,7 +59,7 @@
 spokewheel_layer(fronts_http DIRS src/fronts/http SOURCES src/fronts/http/decode_request.cpp src/fronts/http/server.cpp
   LINKS sw_host sw_wire_http)
 spokewheel_layer(platform DIRS src/platform
-  SOURCES src/platform/configuration.cpp src/platform/dialect.cpp src/platform/platform_daemon.cpp
+  SOURCES src/platform/configuration.cpp src/platform/dialect.cpp src/platform/start_list.cpp src/platform/platform_daemon.cpp
   LINKS sw_fronts_http sw_nodes sw_registry sw_peers sw_log spokewheel_settings nlohmann_json::nlohmann_json)
 spokewheel_layer(standins DIRS standins SOURCES standins/http_server.cpp standins/storage_node.cpp standins/meter.cpp standins/registry.cpp
   LINKS sw_wire_http sw_io)
--- a/fuzz/peer_fuzz.cpp
+++ b/fuzz/peer_fuzz.cpp
@@ -4,6 +4,7 @@
 #include "catalogue/file_version.hpp"
 #include "fuzz/driver.hpp"
 #include "wire/peer/datagram.hpp"
+#include "wire/peer/membership.hpp"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     using namespace spokewheel;
@@ -17,6 +18,13 @@
         guard.take(*d);
         if (guard.take(*d) || wire::peer::pack(*d, none) != text) std::abort();
     }
+    if (const auto query = wire::peer::readMembershipQuery(text))
+        if (wire::peer::pack(*query) != text) std::abort();
+    if (const auto part = wire::peer::readMembershipPart(text)) {
+        if (part->part >= part->parts || part->members.size() > wire::peer::kMembersInPart) std::abort();
+        const auto again = wire::peer::packMembership(*part, part->members);
+        if (again.size() != 1 || (part->parts == 1 && again[0] != text)) std::abort();
+    }
     if (const auto v = catalogue::decode(text))
         if (const auto back = catalogue::decode(catalogue::encode(*v)); !back || back->path != v->path)
             std::abort();
--- a/kit/soak/scheduler_process.cpp
+++ b/kit/soak/scheduler_process.cpp
@@ -82,7 +82,7 @@
                       R"(","seed":")" + seed +
                       R"(","limits":{"cores":1.0,"memory_mb":64,"sockets":256},"peer_listen":")" +
                       addressText(ports_.peers) + R"(","peers":[)" + peers + R"(],"known":)" + known +
-                      R"(,"settings":)" + settingsJson(options_.schedulers, rank_) + "}";
+                      R"(,"settings":)" + settingsJson(options_, rank_) + "}";
     std::ofstream(path("json"), std::ios::binary | std::ios::trunc) << text.substr(0, most);
 }
 
--- a/kit/soak/setting.cpp
+++ b/kit/soak/setting.cpp
@@ -17,7 +17,7 @@
     return terms;
 }
 
-std::string settingsJson(int schedulers, int rank) {
+std::string settingsJson(const Options& options, int rank) {
     std::ostringstream out;
     out << R"({"classes":[)";
     const char* comma = "";
@@ -35,14 +35,16 @@
         << R"({"name":"limited","limit":)" << kLimit << R"(,"limit-burst":)" << kLimitBurst << R"(,"slack":)"
         << kLimitSlack << R"(,"nominal":20.0,"reservation":10.0,"shares":1.0}],)"
         << R"("ceilings":{"send-cap":3,"dial-timeout-ms":)" << kDialTimeoutMs << R"(,"conn-idle-ms":)"
-        << kConnIdleMs << R"(,"retry-after":true,"max-retry-after-ms":1000.0,"peers":true},)"
+        << kConnIdleMs << R"(,"retry-after":true,"max-retry-after-ms":1000.0,"peers":)"
+        << (options.peers ? "true" : "false") << "},"
         << R"("domain":{"class-writes":[false,true,true,true],"mean-units":)" << kMeanUnits
         << R"(,"units-top":4,"use-period-ms":1000.0,"cold-units":)" << kColdUnits << "},"
         << R"("rules":{"grace-to-answer-ms":8.0,"drain-grace-ms":)" << kDrainGraceMs << R"(,"cold-ms":)"
         << kColdMs << R"(,"cold-share":)" << kColdShare << R"(,"tip-multiple":)" << kTipMultiple
         << R"(,"fall-ms":)" << kFallMs << R"(,"settle-after-doubt-ms":)" << kSettleMs << R"(,"extra-floor":)"
         << kExtraFloor << R"(,"extra-share":)" << kExtraShare << R"(,"ratio-span-ms":)" << kExtraSpanMs
-        << R"(},"peers-total":)" << schedulers << R"(,"rank":)" << rank << R"(,"tick-ms":2.0,"zone":"a"})";
+        << R"(},"peers-total":)" << options.schedulers << R"(,"rank":)" << rank
+        << R"(,"tick-ms":2.0,"zone":"a"})";
     return out.str();
 }
 
--- a/kit/soak/setting.hpp
+++ b/kit/soak/setting.hpp
@@ -21,6 +21,7 @@
     int schedulers = 24, servers = 8;
     double requestsPerSecond = 10;  // to each scheduler
     bool troubles = true;
+    bool peers = true;          // whether schedulers may tell each other anything
     int extraMembers = 0;       // listed beside the servers, in cells that nobody asks for
     double churnPerSecond = 0;  // extra members that are replaced by others
 };
@@ -49,7 +50,7 @@
 
 Terms termsOfRun();
 // The "settings" object of a scheduler's configuration.
-std::string settingsJson(int schedulers, int rank);
+std::string settingsJson(const Options& options, int rank);
 
 using Random = std::mt19937_64;
 inline int drawBelow(Random& random, int bound) {
--- a/src/platform/decide_start.hpp
+++ b/src/platform/decide_start.hpp
@@ -1,12 +1,20 @@
-// How long a started scheduler waits for the first word of discovery. Free of I/O and clocks; milliseconds.
+// What a started scheduler waits for before clients are sent to it. Free of I/O and clocks; milliseconds.
+//
+// The list of the configuration may miss a drain that this machine's agent had heard of before it fell
+// silent, and what the agent has counts as told from the first moment of a process. So nothing is sent by
+// that list alone, however long the agent stays silent: the agent's own word, or peers
+// (registry/decide_confirmation.hpp), have to confirm it. What is asked for before that waits, and is refused
+// by the module when its time has come, as for a shard without a node.
 #pragma once
 
 namespace spokewheel::platform {
 
-// The agent is on the same machine and answers at once; an agent with nothing new says an empty line within
-// 2 s. One that stays silent is down: then the list of the configuration has to do, for nine of ten
-// schedulers have to be ready within 6 s.
-constexpr double kFirstWordMs = 2500;
+// The agent is on the same machine and answers at once: one that says nothing for so long is down, or late.
+constexpr double kAskPeersAfterMs = 300;
+
+// Nine of ten restarted schedulers have to be ready within 10 s, within 6 s where the day ends sooner; a
+// client that is not sent here may find another scheduler meanwhile.
+constexpr double kReadyAtLatestMs = 5000;
 
 // Sockets may not be had for a moment, and the process before may still hold the address.
 constexpr double kListenAgainMs = 50, kListenAgainForMs = 20000;
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -59,10 +59,7 @@
     // Requests wait in the module alone: how many there can be is bounded by the connections.
     host_ = std::make_unique<host::Host>(c.module, c.seed, std::numeric_limits<std::size_t>::max(),
                                          std::move(edges));
-    if (c.module.mayTellPeers && c.peerListen.port > 0)
-        peers_ = std::make_unique<peers::PlainLink>(
-            c.module.rank, c.peerListen, c.peers, c.peersAll,
-            [this](int from, std::string bytes) { host_->onPeer(from, std::move(bytes)); });
+    raisePeers();
     host_->monitor().reportTo(
         [this](invariants::Violation violation, const std::string& request, const std::string& detail) {
             log_.event(Level::Error, "invariant_violated",
@@ -76,7 +73,7 @@
                        io::nowMs());
         });
     follow();
-    startTimer_.arm(kFirstWordMs, [this] { begin("not heard"); });
+    startTimer_.arm(kReadyAtLatestMs, [this] { begin("not heard"); });
     log_.event(Level::Info, "started",
                {{"listen", c.listen.text()},
                 {"sockets", std::to_string(c.sockets)},
@@ -88,12 +85,29 @@
 
 PlatformDaemon::~PlatformDaemon() = default;
 
+void PlatformDaemon::raisePeers() {
+    const auto& c = configuration_;
+    StartList::Edges edges;
+    edges.confirmed = [this](registry::Endpoints list) { onConfirmed(std::move(list)); };
+    if (c.module.mayTellPeers && c.peerListen.port > 0) {
+        peers_ = std::make_unique<peers::PlainLink>(c.module.rank, c.peerListen, c.peers, c.peersAll,
+                                                    [this](int from, std::string bytes) {
+                                                        if (!startList_->onPeer(from, bytes))
+                                                            host_->onPeer(from, std::move(bytes));
+                                                    });
+        edges.tell = [this](int rank, const std::string& bytes) { peers_->tell(rank, bytes); };
+    }
+    startList_ = std::make_unique<StartList>(configuration_.known, book_, static_cast<int>(c.peers.size()),
+                                             c.module.rank, c.seed, std::move(edges));
+}
+
 void PlatformDaemon::follow() {
     watch_ = std::make_unique<registry::WatchHttp>(
         configuration_.discovery, configuration_.known.revision, configuration_.seed,
         [this](registry::Endpoints list) {
             const auto form = list.complete ? ListForm::Full : ListForm::Delta;
             if (form == ListForm::Delta) recall();  // what changed since then
+            else recalled_ = true;
             onEndpoints(std::move(list), form);
         },
         [this](registry::WatchFault fault, const std::string& words) {
@@ -101,24 +115,37 @@
                        io::nowMs());
             if (configuration_.module.subscribe) host_->onList({ListForm::Failed, {}});
         },
-        [this] { begin("heard"); });
+        [this] { onHeard(); });
+}
+
+// The agent spoke: what the configuration's list says holds, with what the agent told besides.
+void PlatformDaemon::onHeard() {
+    if (startList_->heardFromAgent()) return startList_->heard();
+    startList_->heard();
+    recall();
+    begin("heard");
 }
 
-// The list of the configuration, where no other has come.
+void PlatformDaemon::onConfirmed(registry::Endpoints list) {
+    onEndpoints(std::move(list), ListForm::Cached);
+    begin("confirmed by peers");
+}
+
+// The list of the configuration, on which the agent's word builds; whole lists of the agent need none.
 void PlatformDaemon::recall() {
-    if (book_.revision() < 0 && configuration_.known.revision >= 0)
-        onEndpoints(std::exchange(configuration_.known, {}), ListForm::Cached);
+    if (std::exchange(recalled_, true) || configuration_.known.revision < 0) return;
+    onEndpoints(std::exchange(configuration_.known, {}), ListForm::Cached);
 }
 
-// Clients are sent here from now on. What the agent has counts as told from the first moment of a process,
-// and the list in the configuration may be older: so it is heard first, for as long as decide_start.hpp says.
+// Clients are sent here from now on, with a list or, at the latest moment that decide_start.hpp allows,
+// without one: then nothing is sent on until one comes.
 void PlatformDaemon::begin(const char* why) {
     if (std::exchange(begun_, true)) return;
     startTimer_.cancel();
-    recall();
     using invariants::Violation;
-    host_->monitor().check(book_.revision() >= 0 || configuration_.known.revision < 0,
-                           Violation::ReadyBeforeNodeList, "");
+    const bool listed = startList_->heardFromAgent() || book_.revision() >= 0;
+    const bool waited = io::nowMs() >= startedAt_ + kReadyAtLatestMs;
+    host_->monitor().check(listed || waited, Violation::ReadyBeforeNodeList, "");
     if (!stopping_) server_->ready();
     log_.event(Level::Info, "ready",
                {{"list", why},
--- a/src/platform/platform_daemon.hpp
+++ b/src/platform/platform_daemon.hpp
@@ -11,6 +11,7 @@
 #include "nodes/node_client.hpp"
 #include "peers/plain_link.hpp"
 #include "platform/configuration.hpp"
+#include "platform/start_list.hpp"
 #include "registry/node_book.hpp"
 #include "registry/watch_http.hpp"
 
@@ -30,6 +31,9 @@
 
   private:
     void follow();
+    void raisePeers();
+    void onHeard();
+    void onConfirmed(registry::Endpoints list);
     void begin(const char* why);
     void recall();
     void onEndpoints(registry::Endpoints list, ListForm form);
@@ -47,11 +51,12 @@
     std::unique_ptr<nodes::NodeClient> nodes_;
     std::unique_ptr<host::Host> host_;
     std::unique_ptr<peers::PlainLink> peers_;
+    std::unique_ptr<StartList> startList_;
     std::unique_ptr<registry::WatchHttp> watch_;
     io::Timer startTimer_, pulseTimer_, stopTimer_, reloadTimer_;
     double reloadUntil_ = 0;  // while a configuration that could not be read is read again
     std::unique_ptr<fronts::http::Server> server_;
-    bool begun_ = false, stopping_ = false;
+    bool begun_ = false, recalled_ = false, stopping_ = false;
 };
 
 // Makes one, waiting as decide_start.hpp says where it can't listen yet. Blocks; nothing runs yet. Throws as
--- a/src/registry/decide_start_times.hpp
+++ b/src/registry/decide_start_times.hpp
@@ -39,9 +39,19 @@
         auto& start = starts_[node];
         if (toldMs <= 0 || start.toldMs == toldMs) return start.localMs;
         const double byWallClock = clock_.nowMs - std::max(0.0, clock_.wallMs - toldMs);
-        start = {toldMs, byWallClock > steppedAt_ ? byWallClock : clock_.nowMs};
+        start = {toldMs, std::max(start.localMs, byWallClock > steppedAt_ ? byWallClock : clock_.nowMs)};
         return start.localMs;
     }
+    // A peer says when the node came up, on `nowMs`'s clock.
+    void notBefore(const std::string& node, double localMs) {
+        auto& start = starts_[node];
+        start.localMs = std::max(start.localMs, localMs);
+    }
+    // As far as it is known; 0: long ago.
+    double startOf(const std::string& node) const {
+        const auto found = starts_.find(node);
+        return found == starts_.end() ? 0 : found->second.localMs;
+    }
     void forget(const std::string& node) { starts_.erase(node); }
 
   private:
--- a/src/registry/node_book.cpp
+++ b/src/registry/node_book.cpp
@@ -18,11 +18,19 @@
     return &found->second.address;
 }
 
+std::vector<std::pair<std::string, double>> NodeBook::usable() const {
+    std::vector<std::pair<std::string, double>> out;
+    for (const auto& [node, known] : nodes_)
+        if (known.lifecycle == Lifecycle::Ready) out.emplace_back(node, starts_.startOf(node));
+    return out;
+}
+
 NodeBook::Change NodeBook::apply(Endpoints list, ListForm form, const ClockReading& clock) {
     Change change;
     if (form == ListForm::Delta && list.revision <= revision_) return change;  // two watches told the same
     change.news = true;
     revision_ = list.revision;
+    ++version_;
     starts_.read(clock);
     std::set<std::string> named;
     for (auto& e : list.entries) {
--- a/src/registry/node_book.hpp
+++ b/src/registry/node_book.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "registry/decide_start_times.hpp"
@@ -23,9 +24,15 @@
     };
     // Start times come out on the monotonic clock of `clock`.
     Change apply(Endpoints list, ListForm form, const ClockReading& clock);
+    // A peer says when the node came up, on the monotonic clock: apply() gives no earlier start from now on.
+    void startedNotBefore(const std::string& node, double localMs) { starts_.notBefore(node, localMs); }
+    // The nodes that take requests, with their starts on the monotonic clock (0: long ago).
+    std::vector<std::pair<std::string, double>> usable() const;
     // Where the node listens; nullptr where it is gone or was never told.
     const std::string* address(const std::string& node) const;
     std::int64_t revision() const { return revision_; }
+    // Grows with each list that is applied.
+    std::uint64_t version() const { return version_; }
     std::size_t size() const { return present_; }
 
   private:
@@ -39,6 +46,7 @@
     std::map<std::string, Known> nodes_;  // those that are gone too, some while
     StartTimes starts_;
     std::int64_t revision_ = -1;
+    std::uint64_t version_ = 0;
     std::size_t present_ = 0;
 };
 
--- /dev/null
+++ b/tests/gateway/confirmation_test.cpp
@@ -0,0 +1,169 @@
+// What a started process takes from its peers while its agent is silent: the messages and the decision.
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "registry/decide_confirmation.hpp"
+#include "wire/peer/membership.hpp"
+
+namespace spokewheel::registry {
+namespace {
+
+using wire::peer::idDigest;
+using wire::peer::kOldestAgeMs;
+using wire::peer::Member;
+using wire::peer::MembershipPart;
+
+constexpr int kPeers = 10, kOwnRank = 3;
+constexpr double kNow = 100000;
+
+std::vector<Member> members(const std::vector<std::string>& ids, double ageMs = kOldestAgeMs) {
+    std::vector<Member> out;
+    for (const auto& id : ids) out.push_back({idDigest(id), ageMs});
+    return out;
+}
+MembershipPart head(double wordAgeMs, std::uint32_t version = 1) {
+    MembershipPart out;
+    out.nonce = 7;
+    out.listVersion = version;
+    out.wordAgeMs = wordAgeMs;
+    return out;
+}
+MembershipPart whole(const std::vector<Member>& members, double wordAgeMs) {
+    return *wire::peer::readMembershipPart(wire::peer::packMembership(head(wordAgeMs), members).front());
+}
+std::set<std::uint64_t> namesOf(const ConfirmedNodes& nodes) {
+    std::set<std::uint64_t> out;
+    for (const auto& [digest, startedAt] : nodes.startedAt) out.insert(digest);
+    return out;
+}
+std::set<std::uint64_t> digests(const std::vector<std::string>& ids) {
+    std::set<std::uint64_t> out;
+    for (const auto& id : ids) out.insert(idDigest(id));
+    return out;
+}
+
+TEST(Membership, AnAnswerOfAnyLengthComesInDatagramsOfThePlatformsSize) {
+    for (const std::size_t count : {0, 1, 34, 35, 200, 3200}) {
+        std::vector<Member> all;
+        for (std::size_t i = 0; i < count; ++i)
+            all.push_back({idDigest("s-" + std::to_string(i)), 100.0 * static_cast<double>(i)});
+        const auto datagrams = wire::peer::packMembership(head(2050, 70000), all);
+        std::vector<Member> read;
+        for (std::size_t i = 0; i < datagrams.size(); ++i) {
+            ASSERT_LE(datagrams[i].size(), wire::peer::kMostMembershipBytes);
+            const auto part = wire::peer::readMembershipPart(datagrams[i]);
+            ASSERT_TRUE(part);
+            EXPECT_EQ(part->nonce, 7u);
+            EXPECT_EQ(part->listVersion, 70000u);
+            EXPECT_EQ(part->part, i);
+            EXPECT_EQ(part->parts, datagrams.size());
+            EXPECT_EQ(part->wordAgeMs, 2000);
+            read.insert(read.end(), part->members.begin(), part->members.end());
+        }
+        ASSERT_EQ(read.size(), count);
+        for (std::size_t i = 0; i < count; ++i) {
+            EXPECT_EQ(read[i].idDigest, all[i].idDigest);
+            EXPECT_EQ(read[i].ageMs, all[i].ageMs);
+        }
+    }
+}
+
+TEST(Membership, WhatIsNoMessageOfThisKindIsNotRead) {
+    const auto good = wire::peer::packMembership(head(0), members({"a"})).front();
+    const std::size_t withoutMembers = good.size() - 7;
+    for (std::size_t size = 0; size < good.size(); ++size)
+        EXPECT_EQ(wire::peer::readMembershipPart(good.substr(0, size)).has_value(), size == withoutMembers)
+            << size;
+    EXPECT_FALSE(wire::peer::readMembershipPart(good + "x"));
+    auto beyond = good;
+    beyond[10] = 5;  // part 5 of 1
+    EXPECT_FALSE(wire::peer::readMembershipPart(beyond));
+    EXPECT_FALSE(wire::peer::readMembershipQuery(good));
+    EXPECT_FALSE(wire::peer::readMembershipQuery(wire::peer::pack(wire::peer::MembershipQuery{1}) + "x"));
+    EXPECT_EQ(wire::peer::readMembershipQuery(wire::peer::pack(wire::peer::MembershipQuery{77}))->nonce, 77u);
+}
+
+TEST(Confirmation, AsksAFewOthersAndNeverItself) {
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        Confirmation confirmation(kPeers, kOwnRank, seed);
+        const auto asked = confirmation.peersToAsk();
+        EXPECT_LE(asked.size(), Confirmation::kAskedAtOnce);
+        EXPECT_FALSE(asked.empty());
+        EXPECT_EQ(std::set<int>(asked.begin(), asked.end()).size(), asked.size());
+        for (const int rank : asked) EXPECT_TRUE(rank >= 0 && rank < kPeers && rank != kOwnRank);
+    }
+    EXPECT_TRUE(Confirmation(1, 0, 5).peersToAsk().empty());
+}
+
+TEST(Confirmation, OneAnswerCountsAfterAMomentAndThreeAtOnce) {
+    Confirmation one(kPeers, kOwnRank, 1);
+    EXPECT_LT(one.settlesInMs(kNow), 0);
+    one.take(1, whole(members({"a", "b"}), 1000), kNow);
+    EXPECT_FALSE(one.confirmed(kNow));
+    EXPECT_GT(one.settlesInMs(kNow), 0);
+    const auto nodes = one.confirmed(kNow + 200);
+    ASSERT_TRUE(nodes);
+    EXPECT_EQ(namesOf(*nodes), digests({"a", "b"}));
+    EXPECT_EQ(nodes->wordAt, kNow - 1000);
+    for (const int rank : {2, 4}) one.take(rank, whole(members({"a", "b"}), 1000), kNow + 1);
+    EXPECT_TRUE(one.confirmed(kNow + 1));
+}
+
+TEST(Confirmation, ANodeThatOneOfThemNoLongerUsesIsNotUsed) {
+    Confirmation confirmation(kPeers, kOwnRank, 1);
+    confirmation.take(1, whole(members({"a", "b", "c"}), 9000), kNow);
+    confirmation.take(2, whole(members({"a", "c"}), 8000), kNow);
+    EXPECT_EQ(namesOf(*confirmation.confirmed(kNow + 200)), digests({"a", "c"}));
+    // One that comes later takes away too.
+    confirmation.take(4, whole(members({"a"}), 8300), kNow + 300);
+    EXPECT_EQ(namesOf(*confirmation.confirmed(kNow + 300)), digests({"a"}));
+}
+
+TEST(Confirmation, APeerWhoseWatchBrokeBeforeTheOthersDoesNotCount) {
+    Confirmation confirmation(kPeers, kOwnRank, 1);
+    confirmation.take(1, whole(members({"a"}), 3000), kNow);
+    confirmation.take(2, whole(members({"a", "drained"}), 9000), kNow);
+    EXPECT_EQ(namesOf(*confirmation.confirmed(kNow + 200)), digests({"a"}));
+    Confirmation behind(kPeers, kOwnRank, 1);
+    behind.take(1, whole(members({"a", "b"}), 3000), kNow);
+    behind.take(2, whole(members({"a"}), 9000), kNow);  // has not heard of "b" yet
+    EXPECT_EQ(namesOf(*behind.confirmed(kNow + 200)), digests({"a", "b"}));
+}
+
+TEST(Confirmation, AnAnswerOfWhichAPartIsLostIsAskedForAgainAndDoesNotCountBefore) {
+    std::vector<std::string> ids;
+    for (int i = 0; i < 80; ++i) ids.push_back("s-" + std::to_string(i));
+    const auto datagrams = wire::peer::packMembership(head(2000), members(ids));
+    ASSERT_EQ(datagrams.size(), 3u);
+    const auto part = [&](std::size_t i) { return *wire::peer::readMembershipPart(datagrams[i]); };
+    Confirmation confirmation(kPeers, kOwnRank, 1);
+    confirmation.take(8, part(0), kNow);
+    confirmation.take(8, part(2), kNow);
+    EXPECT_FALSE(confirmation.confirmed(kNow + 1000));
+    EXPECT_EQ(confirmation.peersToAsk().front(), 8);
+    confirmation.take(8, part(1), kNow + 1000);
+    EXPECT_EQ(confirmation.confirmed(kNow + 1200)->startedAt.size(), ids.size());
+    // Parts of another version of its list don't complete it.
+    Confirmation changed(kPeers, kOwnRank, 1);
+    changed.take(8, part(0), kNow);
+    changed.take(8, part(2), kNow);
+    auto later = part(1);
+    later.listVersion = 2;
+    changed.take(8, later, kNow);
+    EXPECT_FALSE(changed.confirmed(kNow + 1000));
+}
+
+TEST(Confirmation, AStartIsAsLateAsAnyOfThemSays) {
+    Confirmation confirmation(kPeers, kOwnRank, 1);
+    confirmation.take(1, whole({{idDigest("a"), 4000}, {idDigest("b"), kOldestAgeMs}}, 3000), kNow);
+    confirmation.take(2, whole({{idDigest("a"), 1500}, {idDigest("b"), kOldestAgeMs}}, 3000), kNow);
+    const auto nodes = confirmation.confirmed(kNow + 200);
+    EXPECT_EQ(nodes->startedAt.at(idDigest("a")), kNow - 1500);
+    EXPECT_EQ(nodes->startedAt.at(idDigest("b")), 0);
+}
+
+}  // namespace
+}  // namespace spokewheel::registry
