A start time that the watch proves wrong is not believed; a start is no older than the last word

Callers saw a server that had just come up take full load from its first second (200 units in 0.8 s, 77 allowed) where its listed start lay an hour or a minute back, under the known one, or between two clock steps that cancel. Cause: the age was taken by the wall clock unless two lists showed a step; a wrong time needs no step, and two that cancel leave no trace. Change: the list service's last word, empty lines included, bounds the age of a start that it did not know; a time that contradicts it counts from when it was heard, after a silence from the last word. Holds without any clock but the monotonic one; the wall clock is left with a process's first list. Both daemons.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -104,7 +104,10 @@
     else
         listHttp_ = std::make_unique<registry::ListHttp>(
             addressOf(settings_.nodesHttp),
-            settings_.stateDir.empty() ? "" : settings_.stateDir + "/nodes.yaml", seed, update, fault);
+            settings_.stateDir.empty() ? "" : settings_.stateDir + "/nodes.yaml", seed, update, fault,
+            [this] {
+                starts_.heard({io::nowMs(), io::wallMs()});
+            });
     rsync_ = std::make_unique<fronts::rsync::Server>(*context_, addressOf(settings_.listenRsync));
     log_.event(Level::Info, "started", {{"rsync_port", std::to_string(rsync_->port())}}, io::nowMs());
     log_.flush();
@@ -141,7 +144,9 @@
 }
 
 void Daemon::onList(ListUpdate update) {
-    starts_.read({io::nowMs(), io::wallMs()});
+    // A change of the file is seen as it is made: what it tells anew has just begun.
+    const double now = io::nowMs();
+    starts_.read({now, io::wallMs()}, update.form != ListForm::Cached, listFile_ ? now : -1e18);
     for (auto& entry : update.entries) entry.cameUpMs = starts_.localStart(entry.node, entry.cameUpMs);
     const char* forms[] = {"changes", "whole", "cached", "failed"};
     log_.event(
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -45,7 +45,7 @@
     std::unique_ptr<fronts::Patience> patience_;
     std::unique_ptr<fronts::rsync::Context> context_;
     std::unique_ptr<fronts::rsync::Server> rsync_;
-    registry::StartTimes starts_;
+    registry::StartTimes starts_{registry::Poll::kWaitMs + registry::Poll::kLateMs};
     std::unique_ptr<registry::ListFile> listFile_;
     std::unique_ptr<registry::ListHttp> listHttp_;
     io::Timer stopTimer_, pulseTimer_;
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -113,6 +113,7 @@
         [this](registry::WatchFault fault, const std::string& words) {
             log_.event(Level::Warn, "node_list_fault", {{"reason", nameOf(fault)}, {"words", words}},
                        io::nowMs());
+            book_.observe({io::nowMs(), io::wallMs()});
             if (configuration_.module.subscribe) host_->onList({ListForm::Failed, {}});
         },
         [this] { onHeard(); });
@@ -120,6 +121,7 @@
 
 // The agent spoke: what the configuration's list says holds, with what the agent told besides.
 void PlatformDaemon::onHeard() {
+    book_.heard({io::nowMs(), io::wallMs()});
     if (startList_->heardFromAgent()) return startList_->heard();
     startList_->heard();
     recall();
--- a/src/registry/decide_start_times.hpp
+++ b/src/registry/decide_start_times.hpp
@@ -16,13 +16,30 @@
     double wallMs = 0;  // since the epoch
 };
 
-// A start time other than the one known is a new start, whichever way it went. Its age by the wall clock
-// counts only where no step can lie between the start and now; else it counts from when it was heard, which
-// is never too early. The first list of a process can be judged by the wall clock of that moment alone.
+// A start time other than the one known is a new start, whichever way it went. A start that the list service
+// did not know when it spoke last can't be older than that word: a start time that says so is wrong, however
+// steady this machine's clock looks, for two steps that cancel leave no trace. The wall clock alone decides
+// only for the first list of a process. Where it proves wrong, or was stepped meanwhile, a start counts from
+// when it was heard, which is never too early; where the service had been silent, from its last word.
 class StartTimes {
   public:
-    // To be called once for each list, before its entries are asked about.
-    void read(const ClockReading& clock) {
+    // `quietMs`: the longest time between two words of a list service that is well.
+    explicit StartTimes(double quietMs = 2600) : quietMs_(quietMs) {}
+    // The list service spoke, whether or not it had news.
+    void heard(const ClockReading& clock) {
+        observe(clock);
+        lastWordAt_ = clock.nowMs;
+    }
+    // To be called once for each list, before its entries are asked about. `fromService`: the list service
+    // said it now; otherwise it was remembered. `knownUntilMs`: up to when the service had nothing newer,
+    // where that is later than its last word (a blocking query).
+    void read(const ClockReading& clock, bool fromService = true, double knownUntilMs = kNever) {
+        observe(clock);
+        wordBefore_ = std::max(lastWordAt_, knownUntilMs);
+        if (fromService) lastWordAt_ = clock.nowMs;
+    }
+    // Finds steps of the wall clock; the oftener it is called, the fewer can hide.
+    void observe(const ClockReading& clock) {
         const double offset = clock.wallMs - clock.nowMs;
         if (read_ && std::abs(offset - offset_) > kStepMs) steppedAt_ = clock.nowMs;
         read_ = true;
@@ -38,8 +55,7 @@
     double localStart(const std::string& node, double toldMs) {
         auto& start = starts_[node];
         if (toldMs <= 0 || start.toldMs == toldMs) return start.localMs;
-        const double byWallClock = clock_.nowMs - std::max(0.0, clock_.wallMs - toldMs);
-        start = {toldMs, std::max(start.localMs, byWallClock > steppedAt_ ? byWallClock : clock_.nowMs)};
+        start = {toldMs, std::max(start.localMs, firstPossible(toldMs))};
         return start.localMs;
     }
     // A peer says when the node came up, on `nowMs`'s clock.
@@ -55,6 +71,13 @@
     void forget(const std::string& node) { starts_.erase(node); }
 
   private:
+    static constexpr double kNever = -1e18;
+    double firstPossible(double toldMs) const {
+        const double byWallClock = clock_.nowMs - std::max(0.0, clock_.wallMs - toldMs);
+        if (byWallClock > std::max(steppedAt_, wordBefore_)) return byWallClock;
+        const bool wasWell = clock_.nowMs - wordBefore_ <= quietMs_;
+        return wasWell || steppedAt_ >= wordBefore_ ? clock_.nowMs : wordBefore_;
+    }
     // The clocks drift apart by far less between two lists.
     static constexpr double kStepMs = 100;
     struct Start {
@@ -62,7 +85,7 @@
     };
     std::map<std::string, Start> starts_;
     ClockReading clock_;
-    double offset_ = 0, steppedAt_ = -1e18;
+    double quietMs_, offset_ = 0, steppedAt_ = kNever, lastWordAt_ = kNever, wordBefore_ = kNever;
     bool read_ = false;
 };
 
--- a/src/registry/list_http.cpp
+++ b/src/registry/list_http.cpp
@@ -35,11 +35,12 @@
 }
 
 ListHttp::ListHttp(const io::Address& registry, std::string cacheFile, std::uint64_t seed, Update update,
-                   Fault fault)
+                   Fault fault, std::function<void()> heard)
     : registry_(registry),
       cacheFile_(std::move(cacheFile)),
       update_(std::move(update)),
       fault_(std::move(fault)),
+      heard_(std::move(heard)),
       poll_(seed) {
     if (!cacheFile_.empty() && std::filesystem::exists(cacheFile_)) {
         config::Mistakes mistakes;
@@ -124,6 +125,7 @@
     else if (auto changed = changes(known_, list.entries); !changed.empty())
         update_({ListForm::Delta, std::move(changed)});
     known_ = std::move(list.entries);
+    if (heard_) heard_();
     timer_.arm(poll_.againMs(false), [this] { query(); });
 }
 
--- a/src/registry/list_http.hpp
+++ b/src/registry/list_http.hpp
@@ -22,8 +22,9 @@
     using Update = std::function<void(ListUpdate)>;
     using Fault = std::function<void(const std::string& words)>;
     // `cacheFile` empty: nothing is kept. The cached list, if there is one, is told before this returns.
+    // `heard` comes after each good answer of the registry, whether or not it had news.
     ListHttp(const io::Address& registry, std::string cacheFile, std::uint64_t seed, Update update,
-             Fault fault);
+             Fault fault, std::function<void()> heard = {});
     ~ListHttp();
     // The module asks anew: at once where no query is out.
     void ask();
@@ -39,6 +40,7 @@
     std::string cacheFile_;
     Update update_;
     Fault fault_;
+    std::function<void()> heard_;
     Poll poll_;
     std::shared_ptr<io::Connection> connection_;
     wire::http::Parser parser_{wire::http::Parser::Kind::Response};
--- a/src/registry/node_book.cpp
+++ b/src/registry/node_book.cpp
@@ -31,7 +31,7 @@
     change.news = true;
     revision_ = list.revision;
     ++version_;
-    starts_.read(clock);
+    starts_.read(clock, form != ListForm::Cached);
     std::set<std::string> named;
     for (auto& e : list.entries) {
         named.insert(e.node);
--- a/src/registry/node_book.hpp
+++ b/src/registry/node_book.hpp
@@ -24,6 +24,10 @@
     };
     // Start times come out on the monotonic clock of `clock`.
     Change apply(Endpoints list, ListForm form, const ClockReading& clock);
+    // The list service spoke, with or without news: what starts from now on is younger than this.
+    void heard(const ClockReading& clock) { starts_.heard(clock); }
+    // The clocks, read while nothing is said, so that a step between two words is seen.
+    void observe(const ClockReading& clock) { starts_.observe(clock); }
     // A peer says when the node came up, on the monotonic clock: apply() gives no earlier start from now on.
     void startedNotBefore(const std::string& node, double localMs) { starts_.notBefore(node, localMs); }
     // The nodes that take requests, with their starts on the monotonic clock (0: long ago).
--- a/tests/gateway/platform_list_test.cpp
+++ b/tests/gateway/platform_list_test.cpp
@@ -113,6 +113,58 @@
     }
 }
 
+// A start that the list service did not know when it spoke last is no older than that word, whatever is told.
+TEST(StartTimes, AStartIsNoOlderThanTheLastWordThatDidNotKnowIt) {
+    constexpr double kWall = 1.8e12;
+    const auto at = [](double nowMs) { return registry::ClockReading{nowMs, kWall + nowMs}; };
+    for (const double told : {-3600e3, -60e3, -5000.0, 3600e3, -600e3 - 1000}) {
+        registry::StartTimes starts;
+        starts.read(at(1000));
+        starts.localStart("a", kWall - 600e3);
+        starts.heard(at(9000));  // an empty line
+        starts.read(at(9500));
+        EXPECT_EQ(starts.localStart("a", kWall + 9500 + told), 9500) << told;
+        EXPECT_EQ(starts.localStart("new", kWall + 9500 + told), 9500) << told;
+    }
+    // A true one keeps its age.
+    registry::StartTimes starts;
+    starts.read(at(1000));
+    starts.localStart("a", 0);
+    starts.heard(at(9000));
+    starts.read(at(9500));
+    EXPECT_EQ(starts.localStart("a", kWall + 9200), 9200);
+}
+
+// After an outage of the list a start lies within the outage: it is not held back for longer.
+TEST(StartTimes, AfterASilenceAStartIsNoOlderThanTheSilence) {
+    constexpr double kWall = 1.8e12;
+    registry::StartTimes starts;
+    starts.read({1000, kWall + 1000});
+    starts.localStart("a", 0);
+    starts.heard({9000, kWall + 9000});
+    starts.read({39000, kWall + 39000});
+    EXPECT_EQ(starts.localStart("true", kWall + 20000), 20000);
+    EXPECT_EQ(starts.localStart("a", kWall - 3600e3), 9000);
+    // Two steps that cancel in it are seen where the clocks were read between them; then nothing is known.
+    registry::StartTimes stepped;
+    stepped.read({1000, kWall + 1000});
+    stepped.heard({9000, kWall + 9000});
+    stepped.observe({20000, kWall + 20000 - 3600e3});
+    stepped.observe({21000, kWall + 21000});
+    stepped.read({39000, kWall + 39000});
+    EXPECT_EQ(stepped.localStart("a", kWall + 15000), 39000);
+}
+
+// What a process remembers, or its configuration says, is no word of the list service.
+TEST(StartTimes, TheFirstListIsJudgedByTheWallClockThoughAnotherWasRemembered) {
+    constexpr double kWall = 1.8e12;
+    registry::StartTimes starts;
+    starts.read({101000, kWall + 101000}, false);
+    starts.localStart("a", kWall - 600e3);
+    starts.read({101200, kWall + 101200});
+    EXPECT_EQ(starts.localStart("a", kWall + 80000), 80000);
+}
+
 // An entry that can't be read beside good ones: the others count, and nothing new goes to it.
 TEST(NodeBook, AnEntryThatCantBeReadIsNotSentTo) {
     const auto list = word(
--- a/tests/gateway/soak_scenario_test.cpp
+++ b/tests/gateway/soak_scenario_test.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <ctime>
 #include <filesystem>
@@ -139,6 +140,61 @@
 }
 INSTANTIATE_TEST_SUITE_P(Steps, ClockStep, ::testing::Values(kHourMs, -kHourMs, -3000.0));
 
+// A healthy watch has been speaking; then a server starts anew and is listed with a start time that can't be:
+// one from before the watch's last word, in the future, or under the known one. Two steps of the clock that
+// cancel between two words of the watch look just like this. It is started slowly all the same. Why it
+// failed: StartTimes took any start time by the wall clock where two lists showed no step between them, so
+// "an hour ago" made the server warm at once: full load from its first second, more than a hundred breaches
+// of slow start in a play.
+struct ToldStart {
+    const char* name;
+    double knownBefore;    // the start that the list says first, relative to now; 0: long ago
+    double told;           // the new start, relative to now
+    bool stepsThatCancel;  // the clock is stepped there, the server starts, and it is stepped back
+};
+class WrongStartTime : public Scenario, public ::testing::WithParamInterface<ToldStart> {};
+TEST_P(WrongStartTime, IsNotBelievedAgainstTheWatch) {
+    const auto& param = GetParam();
+    options.requestsPerSecond = 150;
+    servers[0]->setInstant(true);
+    if (param.knownBefore != 0) list(*servers[0], "up", std::floor(wallMs() + param.knownBefore));
+    startReady();
+    clients->start();
+    pass(2500);  // the watch says a line every 2 s
+    clients->stop();
+    pass(500);
+    if (param.stepsThatCancel) {
+        stepClock(param.told);
+        pass(20);
+    }
+    servers[0]->restart();
+    const double told = std::floor(wallMs() + param.told);
+    if (param.stepsThatCancel) {
+        stepClock(0);
+        pass(20);
+    }
+    list(*servers[0], "up", told);
+    clients->start();
+    pass(800);
+    clients->stop();
+    pass(3500);
+    const double warm = reactor.now();  // and it is held back for its cold time only
+    clients->start();
+    pass(500);
+    clients->stop();
+    pass(1500);
+    EXPECT_GT(answers(200, warm), 40u);
+    expectKept();
+}
+INSTANTIATE_TEST_SUITE_P(Told, WrongStartTime,
+                         ::testing::Values(ToldStart{"AnHourBack", 0, -kHourMs, false},
+                                           ToldStart{"AMinuteBack", 0, -60e3, false},
+                                           ToldStart{"InTheFuture", 0, kHourMs, false},
+                                           ToldStart{"UnderTheKnownOne", -600e3, -1200e3, false},
+                                           ToldStart{"AfterStepsThatCancel", -600e3, -kHourMs, true},
+                                           ToldStart{"AfterSmallStepsThatCancel", 0, -5000, true}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 // Nobody reads the log: requests go on, and the process still stops.
 TEST_F(Scenario, AFullLogPipeHoldsUpNothing) {
     startReady();
