A start that asks its peers leaves half of its questions for those that have not answered yet

Incomplete answers came first and could take all four questions of a round: four peers that died in the middle of theirs kept a start from asking any other until its agent spoke. Found by reading; the new test failed before.

--- a/src/registry/decide_confirmation.hpp
+++ b/src/registry/decide_confirmation.hpp
@@ -32,12 +32,12 @@
     Confirmation(int peers, int ownRank, std::uint64_t seed)
         : peers_(peers), ownRank_(ownRank), random_(seed) {}
 
-    // The peers to ask now. Those whose answer is incomplete come first, for a lost datagram is asked for
+    // The peers to ask now. Up to half are such whose answer is incomplete, for a lost datagram is asked for
     // again; the others are drawn anew each time, since most of a fleet may have been restarted too.
     std::vector<int> peersToAsk() {
         std::vector<int> out;
         for (const auto& [rank, answer] : answers_)
-            if (!answer.complete() && out.size() < kAskedAtOnce) out.push_back(rank);
+            if (!answer.complete() && out.size() < kAskedAtOnce / 2) out.push_back(rank);
         const std::size_t others = peers_ > 1 ? static_cast<std::size_t>(peers_ - 1) : 0;
         for (std::size_t tries = 0; tries < 4 * kAskedAtOnce; ++tries) {
             if (out.size() >= std::min(kAskedAtOnce, others)) break;
--- a/tests/gateway/confirmation_test.cpp
+++ b/tests/gateway/confirmation_test.cpp
@@ -156,6 +156,21 @@
     EXPECT_FALSE(changed.confirmed(kNow + 1000));
 }
 
+// Peers that died in the middle of their answers don't keep it from asking others.
+TEST(Confirmation, IncompleteAnswersLeaveRoomForOtherPeers) {
+    std::vector<std::string> ids;
+    for (int i = 0; i < 80; ++i) ids.push_back("s-" + std::to_string(i));
+    const auto datagrams = wire::peer::packMembership(head(2000), members(ids));
+    Confirmation confirmation(kPeers, kOwnRank, 1);
+    for (const int rank : {0, 1, 2, 4})
+        confirmation.take(rank, *wire::peer::readMembershipPart(datagrams.front()), kNow);
+    std::set<int> others;
+    for (int round = 0; round < 50; ++round)
+        for (const int rank : confirmation.peersToAsk())
+            if (rank > 4) others.insert(rank);
+    EXPECT_EQ(others, (std::set<int>{5, 6, 7, 8, 9}));
+}
+
 TEST(Confirmation, AStartIsAsLateAsAnyOfThemSays) {
     Confirmation confirmation(kPeers, kOwnRank, 1);
     confirmation.take(1, whole({{idDigest("a"), 4000}, {idDigest("b"), kOldestAgeMs}}, 3000), kNow);
