--- a/kit/soak/soak.cpp
+++ b/kit/soak/soak.cpp
@@ -1,10 +1,6 @@
 #include "kit/soak/soak.hpp"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <sys/stat.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -18,6 +14,7 @@
 #include "kit/soak/agent.hpp"
 #include "kit/soak/clients.hpp"
 #include "kit/soak/disk_server.hpp"
+#include "kit/soak/port_source.hpp"
 #include "kit/soak/reactor.hpp"
 #include "kit/soak/scheduler_process.hpp"
 
@@ -26,36 +23,6 @@
 
 constexpr double kWarmUpMs = 1500, kReadyWaitMs = 15000, kSettleAtEndMs = 3500;
 
-// Ports below the range from which the system takes those of outgoing connections.
-class PortSource {
-  public:
-    explicit PortSource(std::uint64_t seed)
-        : next_(10000 + static_cast<int>((seed * 7919 + static_cast<unsigned>(getpid()) * 131) % 12000)) {}
-    int take() {
-        for (int i = 0; i < 20000; ++i) {
-            if (++next_ >= 32000) next_ = 10000;
-            if (isFree(next_)) return next_;
-        }
-        throw std::runtime_error("no free port");
-    }
-
-  private:
-    static bool isFree(int port) {
-        sockaddr_in at{};
-        at.sin_family = AF_INET;
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        at.sin_port = htons(static_cast<std::uint16_t>(port));
-        for (const int type : {SOCK_STREAM, SOCK_DGRAM}) {
-            const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-            const bool free = bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
-            close(fd);
-            if (!free) return false;
-        }
-        return true;
-    }
-    int next_;
-};
-
 class World {
   public:
     explicit World(const Options& options)
