--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,8 @@
 # Random orders of what can happen to a scheduler of the platform, some 6 s a seed.
 orders: build
 	SPOKEWHEEL_SEEDS=$(ROUNDS) $(BUILD)/tests/platform_tests --gtest_filter='*Orders*'
-# Real schedulers under overlapping troubles over loopback; a seed is replayed by SEED and SEEDS=1.
+# Real schedulers under overlapping troubles over loopback, each seed with settings of its own; a seed is replayed by
+# SEED and SEEDS=1. Where a rule broke, record, script and logs stay in $(BUILD)/soak/seed-N.
 soak: build
 	$(BUILD)/bin/spokewheel-soak --scheduler $(BUILD)/bin/spokewheeld --shim $(abspath $(BUILD))/bin/spokewheel_faults.so \
 	  --folder $(BUILD)/soak --seconds $(SECONDS) --seed $(SEED) --seeds $(SEEDS) --schedulers $(SCHEDULERS)
--- a/apps/spokewheeld.cpp
+++ b/apps/spokewheeld.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <memory>
 
 #include "config/settings.hpp"
 #include "daemon/daemon.hpp"
@@ -18,14 +19,16 @@
 
 int runPlatform() {
     spokewheel::io::Loop loop;
-    const auto daemon = spokewheel::platform::startPlatform(
+    std::unique_ptr<spokewheel::platform::PlatformDaemon> daemon;
+    // First, so that one that comes during the start is kept for the loop and doesn't end the process.
+    loop.onSignal(SIGTERM, [&daemon] { daemon->stop(); });
+    loop.onSignal(SIGINT, [&daemon] { daemon->stop(); });
+    loop.onSignal(SIGHUP, [&daemon] { daemon->reload(); });
+    daemon = spokewheel::platform::startPlatform(
         fromEnvironment("LB_CONFIG"),
         {fromEnvironment("LB_NAME"), fromEnvironment("LB_LISTEN"), fromEnvironment("LB_DISCOVERY"),
          !fromEnvironment("SPOKEWHEEL_TRACE").empty()},
         loop);
-    loop.onSignal(SIGTERM, [&daemon] { daemon->stop(); });
-    loop.onSignal(SIGINT, [&daemon] { daemon->stop(); });
-    loop.onSignal(SIGHUP, [&daemon] { daemon->reload(); });
     loop.run();
     return 0;
 }
--- a/kit/soak/agent.cpp
+++ b/kit/soak/agent.cpp
@@ -116,7 +116,10 @@
 void Agent::setDown(bool down) {
     if (down == down_) return;
     down_ = down;
-    if (down) return;
+    if (down) {
+        downSince_ = reactor_.now();
+        return;
+    }
     for (const auto& member : std::exchange(pending_, {})) change(member);
     for (const auto& watch : watches_)
         if (!watch->got.empty() && !watch->asked) onRequest(watch);
--- a/kit/soak/agent.hpp
+++ b/kit/soak/agent.hpp
@@ -34,6 +34,7 @@
     void change(const Member& member);
     void setDown(bool down);  // silent, and learns nothing
     bool down() const { return down_; }
+    double downSince() const { return downSince_; }
     void silenceWatches();  // open ones say nothing any more
     void resetWatches();
     void slowDown(bool slow) { slow_ = slow; }  // lists go out in small pieces
@@ -70,7 +71,7 @@
     Written written_;
     int revision_ = 1;
     bool down_ = false, slow_ = false;
-    double movedAt_ = -1e12, silencedAt_ = -1e12;
+    double movedAt_ = -1e12, silencedAt_ = -1e12, downSince_ = -1e12;
     std::vector<Member> members_, pending_;
     std::vector<WatchPtr> watches_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/kit/soak/clients.cpp
+++ b/kit/soak/clients.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t kMostConnections = 24;
 constexpr double kReadSnapshotMs = 750;  // after which no byte of a connection that ended is read any more
 constexpr double kConnectMs = 1500;
+constexpr double kNewWhileStoppingMs = 400;  // after SIGTERM new connections keep coming for so long
 int nextRequest = 0, nextConnection = 0;
 
 }  // namespace
@@ -26,6 +27,7 @@
 
 Clients::~Clients() {
     *alive_ = false;
+    crowdLeaves();
     for (const auto& c : connections_) c->link->close();
 }
 
@@ -40,6 +42,8 @@
         event.request = asked->id;
         event.requestClass = asked->requestClass;
         event.timeoutMs = asked->timeoutMs;
+        event.cell = asked->cell;
+        event.limited = asked->limited;
     }
     event.status = status;
     (kind == EventKind::ConnectionEnded ? event.read : event.genuine) = flag;
@@ -69,7 +73,7 @@
 }
 
 Clients::Asked Clients::make() {
-    const auto plans = classPlans();
+    const auto& plans = options_.setting.classes;
     double draw = drawReal(random_);
     const ClassPlan* plan = &plans.front();
     for (const auto& one : plans) {
@@ -88,6 +92,8 @@
                           : std::floor(plan->deadlineMs * (0.5 + 0.5 * drawReal(random_)));
     const bool limited = chance(random_, 0.3);
     const int cell = drawBelow(random_, options_.servers);
+    asked.cell = cell;
+    asked.limited = limited;
     const std::string body =
         plan->method == "PUT" ? std::string(static_cast<std::size_t>(drawBelow(random_, 6000)), 'b') : "";
     asked.text =
@@ -110,6 +116,10 @@
         if (c->ready && c->open.empty() && !c->left && !c->malformed && !c->busyWriting) idle.push_back(c);
     if (!idle.empty() && !chance(random_, 0.1))
         return idle[static_cast<std::size_t>(drawBelow(random_, static_cast<int>(idle.size())))];
+    if (process_.stopping() && reactor_.now() > process_.stoppedAt() + kNewWhileStoppingMs) {
+        if (idle.empty()) return nullptr;
+        return idle[static_cast<std::size_t>(drawBelow(random_, static_cast<int>(idle.size())))];
+    }
     return connections_.size() < kMostConnections ? dial() : nullptr;
 }
 
@@ -278,6 +288,30 @@
     note(EventKind::Malformed, c, nullptr);
 }
 
+void Clients::crowd(int count, double lastsMs) {
+    for (int i = 0; i < count; ++i) {
+        const auto link = reactor_.dial(process_.port());
+        const std::weak_ptr<Link> weak = link;
+        // Some rest after a question, the others say nothing.
+        if (i % 2)
+            link->onConnected = [weak] {
+                if (const auto l = weak.lock()) l->write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+            };
+        link->onEnd = [weak](Link::End) {
+            if (const auto l = weak.lock()) l->close();
+        };
+        crowd_.push_back(link);
+    }
+    reactor_.after(lastsMs, [this, alive = alive_] {
+        if (*alive) crowdLeaves();
+    });
+}
+
+void Clients::crowdLeaves() {
+    for (const auto& link : crowd_) link->close();
+    crowd_.clear();
+}
+
 void Clients::malformedBurst(int count) {
     for (int i = 0; i < count && process_.running(); ++i) malformed(dial());
 }
--- a/kit/soak/clients.hpp
+++ b/kit/soak/clients.hpp
@@ -17,7 +17,6 @@
 
 class Clients {
   public:
-    // `cells` tells which cells there are now.
     Clients(Reactor& reactor, Random& random, Record record, SchedulerProcess& process, int rank,
             const Options& options);
     ~Clients();
@@ -28,13 +27,17 @@
     void start();
     void stop() { asking_ = false; }
     void malformedBurst(int count);
+    // Idle connections beside the usual ones, which fill the scheduler's descriptors, for a while.
+    void crowd(int count, double lastsMs);
+    void crowdLeaves();
 
   private:
     struct Asked {
         std::string id, requestClass, text;
         double at = 0, timeoutMs = 0;
         std::uint64_t endOffset = 0;  // of its last byte among those written to the connection
-        bool repeated = false;
+        int cell = -1;
+        bool limited = false;
     };
     struct Connection {
         int number = 0, life = 0, port = 0;  // port: of the client's side
@@ -70,6 +73,7 @@
     const Options& options_;
     bool asking_ = false;
     std::vector<ConnectionPtr> connections_;
+    std::vector<LinkPtr> crowd_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/kit/soak/disk_server.cpp
+++ b/kit/soak/disk_server.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double kToldToleranceMs = 50;
+constexpr int kBacklog = 512;
 int nextAttempt = 0;
 
 std::string valueIn(const std::string& list, const std::string& name) {
@@ -38,12 +39,14 @@
     bool out = false;  // an attempt is not finished
 };
 
-DiskServer::DiskServer(Reactor& reactor, Random& random, Record record, Place place, std::vector<int> ports)
+DiskServer::DiskServer(Reactor& reactor, Random& random, Record record, Place place, std::vector<int> ports,
+                       Setting setting)
     : reactor_(reactor),
       random_(random),
       record_(std::move(record)),
       place_(std::move(place)),
-      ports_(std::move(ports)) {
+      ports_(std::move(ports)),
+      setting_(std::move(setting)) {
     openDoors();
 }
 
@@ -71,8 +74,52 @@
         for (const int port : ports_) reactor_.unlisten(port);
         resetConnections(1);
     }
-    for (const int port : ports_) reactor_.holdListener(port, mode == Mode::Vanished);
-    for (const auto& session : sessions_) session->link->pauseReading(mode == Mode::Vanished);
+    holdDoors();
+}
+
+void DiskServer::holdDoors() {
+    for (std::size_t i = 0; i < ports_.size(); ++i)
+        reactor_.holdListener(ports_[i], mode_ != Mode::Crashed && cut(static_cast<int>(i)));
+    for (const auto& session : sessions_) session->link->pauseReading(cut(session->scheduler));
+}
+
+void DiskServer::cutOff(int scheduler, bool isCut) {
+    if ((cutOff_.count(scheduler) > 0) == isCut) return;
+    if (isCut) cutOff_.insert(scheduler);
+    else cutOff_.erase(scheduler);
+    if (mode_ == Mode::Vanished || mode_ == Mode::Crashed) return;
+    if (!isCut) {
+        resetConnectionsOf(scheduler);
+        // What waits to be taken came over the cut: it goes with the door.
+        const int port = portFor(scheduler);
+        reactor_.unlisten(port);
+        reactor_.listen(port, [this, scheduler](LinkPtr link) { accept(scheduler, std::move(link)); });
+    }
+    holdDoors();
+}
+
+void DiskServer::resetConnectionsOf(int scheduler) {
+    const auto sessions = sessions_;
+    for (const auto& session : sessions) {
+        if (session->scheduler != scheduler) continue;
+        if (session->out) finish(session, session->attempt, "reset");
+        session->link->reset();
+        sessions_.erase(std::remove(sessions_.begin(), sessions_.end(), session), sessions_.end());
+    }
+}
+
+void DiskServer::loseFirstTries(bool lose) {
+    if (mode_ != Mode::Serving) lose = false;
+    for (std::size_t i = 0; i < ports_.size(); ++i) {
+        reactor_.setBacklog(ports_[i], lose ? 0 : kBacklog);
+        if (!cut(static_cast<int>(i)) && mode_ != Mode::Crashed) reactor_.holdListener(ports_[i], lose);
+        // A queue of length 0 holds one connection; those who come after it are not heard.
+        if (lose)
+            for (int n = 0; n < 2; ++n) fillers_.push_back(reactor_.dial(ports_[i]));
+    }
+    if (lose) return;
+    for (const auto& filler : fillers_) filler->close();
+    fillers_.clear();
 }
 
 void DiskServer::restart() {
@@ -129,7 +176,11 @@
         s->link->close();
         sessions_.erase(std::remove(sessions_.begin(), sessions_.end(), s), sessions_.end());
     };
-    if (mode_ == Mode::Vanished) link->pauseReading(true);
+    // Nothing passes a cut, but the scheduler's own end of the attempt is when it gave it up.
+    link->onEndWhilePaused = [this, weak] {
+        if (const auto s = weak.lock(); s && s->out) finish(s, s->attempt, "called off");
+    };
+    if (cut(scheduler)) link->pauseReading(true);
 }
 
 void DiskServer::onData(const SessionPtr& s, std::string_view bytes) {
@@ -207,8 +258,9 @@
         finish(s, attempt, "answered");
         return say(s, withLength("503 Full", "", "X-Not-Processed: 1\r\n"));
     }
-    const double share = std::min(1.0, kColdShare + (1 - kColdShare) * ageMs() / kColdMs);
-    const double takes = instant_ ? 0 : 1000 * attempt.units / (kServerUnitsPerS * share);
+    const double share =
+        std::min(1.0, setting_.coldShare + (1 - setting_.coldShare) * ageMs() / setting_.coldMs);
+    const double takes = instant_ ? 0 : 1000 * attempt.units / (setting_.serverUnitsPerS * share);
     freeAt_ = std::max(freeAt_, reactor_.now()) + takes;
     const std::weak_ptr<Session> weak = s;
     reactor_.after(freeAt_ - reactor_.now(), [this, alive = alive_, weak, attempt, start = starts_] {
@@ -227,7 +279,7 @@
 
 // Passes bytes on as the network would: at times in two parts.
 void DiskServer::say(const SessionPtr& s, const std::string& bytes) {
-    if (mode_ == Mode::Vanished) return;
+    if (cut(s->scheduler)) return;
     if (bytes.size() < 2 || !chance(random_, 0.15)) return s->link->write(bytes);
     const auto cut = 1 + static_cast<std::size_t>(drawBelow(random_, static_cast<int>(bytes.size()) - 1));
     s->link->write(bytes.substr(0, cut));
--- a/kit/soak/disk_server.hpp
+++ b/kit/soak/disk_server.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,7 +26,8 @@
         Vanished,  // the machine is cut off: nothing comes in or goes out
         Crashed    // connections reset, new ones refused
     };
-    DiskServer(Reactor& reactor, Random& random, Record record, Place place, std::vector<int> ports);
+    DiskServer(Reactor& reactor, Random& random, Record record, Place place, std::vector<int> ports,
+               Setting setting = {});
     ~DiskServer();
     DiskServer(const DiskServer&) = delete;
     DiskServer& operator=(const DiskServer&) = delete;
@@ -36,11 +38,17 @@
     Mode mode() const { return mode_; }
     void setDraining(bool draining) { draining_ = draining; }
     bool draining() const { return draining_; }
+    // Whether a request that comes now can be served: it takes what comes, and is warm.
+    bool well() const { return mode_ == Mode::Serving && !draining_ && !cold(); }
     // Whether some answers are spoilt, cut or refused; on by default.
     void setFaulty(bool faulty) { faulty_ = faulty; }
     // Answers at once, however much comes and however cold it is, so that nothing but the list slows a
     // sender.
     void setInstant(bool instant) { instant_ = instant; }
+    // Nothing passes between it and the scheduler; connections are reset once the cut is over.
+    void cutOff(int scheduler, bool cut);
+    // While true, the first tries of new connections are lost; TCP makes them again a second later.
+    void loseFirstTries(bool lose);
     // Starts anew, cold.
     void restart();
     void startCold();
@@ -60,25 +68,31 @@
         bool limited = false;
     };
     void openDoors();
+    void holdDoors();
+    bool cut(int scheduler) const { return mode_ == Mode::Vanished || cutOff_.count(scheduler) > 0; }
+    void resetConnectionsOf(int scheduler);
     void accept(int scheduler, LinkPtr link);
     void onData(const SessionPtr& session, std::string_view bytes);
     void onWhole(const SessionPtr& session);
     void work(const SessionPtr& session, const Attempt& attempt);
     void answer(const SessionPtr& session, const Attempt& attempt);
-    void say(const SessionPtr& session, const std::string& bytes);
+    void say(const SessionPtr& session, const std::string& bytes);  // nothing over a cut
     void finish(const SessionPtr& session, const Attempt& attempt, const char* how);
     void note(EventKind kind, const Attempt& attempt, const std::string& words = {});
-    bool cold() const { return ageMs() < kColdMs; }
+    bool cold() const { return ageMs() < setting_.coldMs; }
 
     Reactor& reactor_;
     Random& random_;
     Record record_;
     Place place_;
     std::vector<int> ports_;
+    Setting setting_;
     Mode mode_ = Mode::Serving;
     bool draining_ = false, faulty_ = true, instant_ = false;
     double startedAt_ = -1e12, freeAt_ = 0;
     int starts_ = 0;
+    std::set<int> cutOff_;
+    std::vector<LinkPtr> fillers_;  // of the queue of connections that nobody takes
     std::map<int, double> toldAt_;  // scheduler: when it was told of the present start
     std::vector<SessionPtr> sessions_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/kit/soak/events.hpp
+++ b/kit/soak/events.hpp
@@ -2,6 +2,7 @@
 // nothing else. Times are milliseconds of the harness's monotonic clock.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -23,13 +24,17 @@
     Notified,         // a scheduler counts as told that a server drains or is gone
     ServerStarted,    // a server came up cold
     ProcessStarted,
-    ProcessReady,   // answered 200 to GET /ready
-    StopRequested,  // SIGTERM
-    Killed,         // SIGKILL
-    Exited,         // ended by itself, with `status`
-    Violation       // a scheduler logged a violated invariant
+    ProcessReady,    // answered 200 to GET /ready
+    StopRequested,   // SIGTERM
+    Killed,          // SIGKILL
+    Exited,          // ended by itself, with `status`
+    CellState,       // of the servers of `server` (a cell's number), from now on: `status` 1 well, 0 not
+    SchedulerState,  // of what surrounds a scheduler, from now on: `status` 1 well, 0 troubled
+    Violation        // a scheduler logged a violated invariant
 };
 
+const char* nameOf(EventKind kind);
+
 struct Event {
     EventKind kind = EventKind::RequestSent;
     double at = 0;
@@ -42,6 +47,8 @@
     int status = 0;      // of an answer, or of a process that exited
     double units = 0;
     double timeoutMs = 0;  // what the client allows, or what the attempt told its server
+    int cell = -1;         // in which a request's data lies
+    bool limited = false;  // of a request: its volume has a limit
     bool read = false;
     bool genuine = false;  // of an answer 200: a server made it for this request
     bool cold = false;     // of an attempt: its server was within the cold time
@@ -64,6 +71,9 @@
     double coldMs = 0, coldUnits = 0, coldShare = 1, tipMultiple = 1, fallMs = 0, meanUnits = 1,
            serverUnitsPerS = 0;
     double settleMs = 0, extraFloor = 0, extraShare = 0, extraSpanMs = 0;
+    // Of what could be served to a class by servers that were well, outside limits, so much has to be.
+    double leastServed = 1.0 / 3, leastAskedMs = 300;
+    std::size_t fewestAsked = 60;
     double toleranceMs = 50;  // of every time limit
 };
 
--- a/kit/soak/judge.hpp
+++ b/kit/soak/judge.hpp
@@ -20,6 +20,7 @@
     TimeoutPassedOn,
     Malformed,
     Starts,
+    Service,
     Invariants
 };
 const char* nameOf(Rule rule);
--- a/kit/soak/reactor.cpp
+++ b/kit/soak/reactor.cpp
@@ -12,11 +12,13 @@
 #include <cmath>
 #include <ctime>
 #include <stdexcept>
+#include <utility>
 
 namespace spokewheel::soak {
 namespace {
 
 constexpr int kMostEvents = 256;
+constexpr int kBindTries = 200, kBindAgainUs = 1000;
 constexpr std::size_t kReadBytes = 256 * 1024;
 
 sockaddr_in loopback(int port) {
@@ -51,6 +53,7 @@
     epoll_event event{};
     event.data.fd = fd_;
     if (!paused_ && !ended_) event.events |= EPOLLIN;
+    if (paused_) event.events |= EPOLLRDHUP;
     if (connecting_ || !out_.empty()) event.events |= EPOLLOUT;
     epoll_ctl(reactor_.epoll_, EPOLL_CTL_MOD, fd_, &event);
 }
@@ -78,6 +81,11 @@
 
 void Link::pauseReading(bool paused) {
     paused_ = paused;
+    if (!paused && std::exchange(endedWhilePaused_, false) && fd_ >= 0) {
+        epoll_event event{};
+        event.data.fd = fd_;
+        epoll_ctl(reactor_.epoll_, EPOLL_CTL_ADD, fd_, &event);
+    }
     watch();
 }
 
@@ -114,6 +122,12 @@
         epoll_ctl(reactor_.epoll_, EPOLL_CTL_DEL, fd_, nullptr);
         return;
     }
+    if (paused_ && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))) {
+        endedWhilePaused_ = true;
+        epoll_ctl(reactor_.epoll_, EPOLL_CTL_DEL, fd_, nullptr);
+        if (onEndWhilePaused) onEndWhilePaused();
+        return;
+    }
     if (connecting_ && !(events & (EPOLLOUT | EPOLLHUP | EPOLLERR))) return;
     if (connecting_) {
         int error = 0;
@@ -172,8 +186,14 @@
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     auto at = loopback(port);
     socklen_t size = sizeof at;
-    if (bind(fd, reinterpret_cast<sockaddr*>(&at), size) != 0 || ::listen(fd, 256) != 0 ||
-        getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) != 0) {
+    // A child that was forked a moment ago holds a copy of the door that was here before, until its exec.
+    int failed = -1;
+    for (int tries = 0; tries < kBindTries && failed != 0; ++tries) {
+        if (tries > 0) usleep(kBindAgainUs);
+        failed = bind(fd, reinterpret_cast<sockaddr*>(&at), size);
+        if (failed == 0) failed = ::listen(fd, 256);
+    }
+    if (failed != 0 || getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) != 0) {
         ::close(fd);
         throw std::runtime_error("the harness can't listen on port " + std::to_string(port));
     }
@@ -204,6 +224,11 @@
     epoll_ctl(epoll_, EPOLL_CTL_MOD, found->second.fd, &event);
 }
 
+void Reactor::setBacklog(int port, int most) {
+    const auto found = doors_.find(port);
+    if (found != doors_.end()) ::listen(found->second.fd, most);
+}
+
 void Reactor::after(double ms, std::function<void()> then) { timers_.emplace(now() + ms, std::move(then)); }
 
 void Reactor::watchPipe(int fd, std::function<void()> readable) {
--- a/kit/soak/reactor.hpp
+++ b/kit/soak/reactor.hpp
@@ -23,6 +23,8 @@
     std::function<void()> onConnected;
     std::function<void(std::string_view)> onData;
     std::function<void(End)> onEnd;  // the other side ended; once, not after close()
+    // The other side ended while reading is paused; once. What came before it is still unread.
+    std::function<void()> onEndWhilePaused;
     void write(std::string_view bytes);
     void shutdownWrite();
     void close();
@@ -42,6 +44,7 @@
     Reactor& reactor_;
     int fd_;
     bool connecting_, finish_ = false, paused_ = false, ended_ = false;
+    bool endedWhilePaused_ = false;  // and the reactor no longer waits for it
     std::string out_;
 };
 using LinkPtr = std::shared_ptr<Link>;
@@ -61,6 +64,8 @@
     void unlisten(int port);
     // Stops taking connections without refusing them.
     void holdListener(int port, bool held);
+    // Of connections that wait to be taken (listen(2)).
+    void setBacklog(int port, int most);
     void after(double ms, std::function<void()> then);
     // Calls `readable` while the descriptor has data; the caller owns the descriptor.
     void watchPipe(int fd, std::function<void()> readable);
--- a/kit/soak/scheduler_process.cpp
+++ b/kit/soak/scheduler_process.cpp
@@ -19,7 +19,7 @@
 namespace spokewheel::soak {
 namespace {
 
-constexpr double kReapMs = 20, kReadyMs = 30, kKillReserveMs = 700;
+constexpr double kReapMs = 20, kReadyMs = 30;
 constexpr int kSmallPipe = 4096;
 
 std::string addressText(int port) { return "127.0.0.1:" + std::to_string(port); }
@@ -79,8 +79,8 @@
                                                   static_cast<unsigned>(life_ * 997 + rank_)));
     const auto text = R"({"name":"n)" + std::to_string(rank_) + R"(","listen":")" +
                       addressText(ports_.clients) + R"(","discovery":")" + addressText(discoveryPort) +
-                      R"(","seed":")" + seed +
-                      R"(","limits":{"cores":1.0,"memory_mb":64,"sockets":256},"peer_listen":")" +
+                      R"(","seed":")" + seed + R"(","limits":{"cores":1.0,"memory_mb":64,"sockets":)" +
+                      std::to_string(options_.setting.sockets) + R"(},"peer_listen":")" +
                       addressText(ports_.peers) + R"(","peers":[)" + peers + R"(],"known":)" + known +
                       R"(,"settings":)" + settingsJson(options_, rank_) + "}";
     std::ofstream(path("json"), std::ios::binary | std::ios::trunc) << text.substr(0, most);
@@ -198,13 +198,18 @@
 void SchedulerProcess::stop() {
     if (pid_ <= 0 || stopping_) return;
     stopping_ = true;
+    stoppedAt_ = reactor_.now();
     note(EventKind::StopRequested);
     ::kill(pid_, SIGTERM);
-    reactor_.after(longestDeadlineMs() + kKillReserveMs, [this, alive = alive_, life = life_] {
+    reactor_.after(options_.setting.killAfterMs(), [this, alive = alive_, life = life_] {
         if (*alive && life == life_) kill();
     });
 }
 
+void SchedulerProcess::stopAgain() {
+    if (pid_ > 0 && stopping_) ::kill(pid_, SIGTERM);
+}
+
 void SchedulerProcess::kill() {
     if (pid_ <= 0) return;
     note(EventKind::Killed);
--- a/kit/soak/scheduler_process.hpp
+++ b/kit/soak/scheduler_process.hpp
@@ -30,14 +30,16 @@
     void writeConfiguration(int discoveryPort, const std::string& known,
                             std::size_t most = std::string::npos);
     void start();
-    void reload();  // SIGHUP
-    void stop();    // SIGTERM, and SIGKILL as the platform does
+    void reload();     // SIGHUP
+    void stop();       // SIGTERM, and SIGKILL as the platform does
+    void stopAgain();  // another SIGTERM while it stops
     void kill();
     bool running() const { return pid_ > 0; }
     bool stopping() const { return stopping_; }
     bool ready() const { return ready_; }
     double startedAt() const { return startedAt_; }
-    int life() const { return life_; }  // counts the starts
+    double stoppedAt() const { return stoppedAt_; }  // when it was last told to stop
+    int life() const { return life_; }               // counts the starts
     int port() const { return ports_.clients; }
     FaultControl& control() { return *control_; }
     void readLog(bool reads);  // false: its pipe fills up
@@ -66,7 +68,7 @@
     pid_t pid_ = -1;
     int logPipe_ = -1, life_ = 0;
     bool stopping_ = false, ready_ = false, reads_ = true;
-    double startedAt_ = 0;
+    double startedAt_ = 0, stoppedAt_ = 0;
     std::string log_;
     std::vector<std::string> oddLines_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/kit/soak/setting.hpp
+++ b/kit/soak/setting.hpp
@@ -2,6 +2,7 @@
 // judge.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -12,6 +13,40 @@
 
 namespace spokewheel::soak {
 
+struct ClassPlan {
+    std::string name;
+    std::string method;
+    double deadlineMs = 0, share = 0;
+    ClassTerms terms;
+};
+
+// One customer's settings. Milliseconds and units.
+struct Setting {
+    std::vector<ClassPlan> classes = {{"read", "GET", 900, 0.5, {"read", false, false, false, 0}},
+                                      {"once", "PUT", 1200, 0.2, {"once", true, false, false, 0}},
+                                      {"keyed", "PUT", 1200, 0.15, {"keyed", false, true, false, 700}},
+                                      {"ordered", "PUT", 1000, 0.15, {"ordered", false, false, true, 0}}};
+    bool peers = true;  // whether schedulers may tell each other anything
+    std::size_t sockets = 256;
+    double serverUnitsPerS = 120;
+    double coldMs = 4000, coldShare = 0.05, coldUnits = 9, tipMultiple = 1.5, fallMs = 1000;
+    double meanUnits = 2, drainGraceMs = 2000, settleMs = 120;
+    double extraFloor = 4, extraShare = 0.2, extraSpanMs = 3000;
+    double limit = 30, limitBurst = 45, limitSlack = 4;
+    double dialTimeoutMs = 250, connIdleMs = 6000;
+
+    double longestDeadlineMs() const;
+    // From SIGTERM to SIGKILL, at the platform's earliest.
+    double killAfterMs() const;
+    std::string summary() const;
+};
+
+using Random = std::mt19937_64;
+
+// Another customer's settings: effects, deadlines from 0.3 to over 3 s, memories of keys, peers, descriptors
+// and how cold a server starts.
+Setting drawSetting(std::uint64_t seed);
+
 struct Options {
     std::string scheduler;  // the daemon's file
     std::string shim;       // the fault shim's file; empty: none is loaded
@@ -21,38 +56,17 @@
     int schedulers = 24, servers = 8;
     double requestsPerSecond = 10;  // to each scheduler
     bool troubles = true;
-    bool peers = true;          // whether schedulers may tell each other anything
+    bool crowds = false;        // idle clients that fill the descriptors, now and then
     int extraMembers = 0;       // listed beside the servers, in cells that nobody asks for
     double churnPerSecond = 0;  // extra members that are replaced by others
+    Setting setting;
 };
 
-struct ClassPlan {
-    std::string name;
-    std::string method;
-    double deadlineMs = 0, share = 0;
-    ClassTerms terms;
-};
-
-constexpr double kServerUnitsPerS = 120, kColdMs = 4000, kColdShare = 0.05, kTipMultiple = 1.5,
-                 kFallMs = 1000;
-constexpr double kColdUnits = 9, kMeanUnits = 2, kDrainGraceMs = 2000, kSettleMs = 120;
-constexpr double kExtraFloor = 4, kExtraShare = 0.2, kExtraSpanMs = 3000;
-constexpr double kLimit = 30, kLimitBurst = 45, kLimitSlack = 4;
-constexpr double kDialTimeoutMs = 250, kConnIdleMs = 6000;
-
-inline std::vector<ClassPlan> classPlans() {
-    return {{"read", "GET", 900, 0.5, {"read", false, false, false, 0}},
-            {"once", "PUT", 1200, 0.2, {"once", true, false, false, 0}},
-            {"keyed", "PUT", 1200, 0.15, {"keyed", false, true, false, 700}},
-            {"ordered", "PUT", 1000, 0.15, {"ordered", false, false, true, 0}}};
-}
-inline double longestDeadlineMs() { return 1200; }
-
-Terms termsOfRun();
+Terms termsOf(const Setting& setting);
+inline Terms termsOfRun() { return termsOf(Setting{}); }
 // The "settings" object of a scheduler's configuration.
 std::string settingsJson(const Options& options, int rank);
 
-using Random = std::mt19937_64;
 inline int drawBelow(Random& random, int bound) {
     return static_cast<int>(random() % static_cast<std::uint64_t>(bound));
 }
--- a/kit/soak/soak.cpp
+++ b/kit/soak/soak.cpp
@@ -6,7 +6,9 @@
 #include <csignal>
 #include <cstdio>
 #include <ctime>
+#include <map>
 #include <memory>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
@@ -21,7 +23,8 @@
 namespace spokewheel::soak {
 namespace {
 
-constexpr double kWarmUpMs = 1500, kReadyWaitMs = 15000, kSettleAtEndMs = 3500;
+constexpr double kWarmUpMs = 1500, kReadyWaitMs = 15000, kSettleAtEndMs = 3500, kAfterKillMs = 1500;
+constexpr double kSampleMs = 20, kHeardAfterOutageMs = 1500;
 
 class World {
   public:
@@ -54,6 +57,7 @@
         const double latest = reactor_.now() + kReadyWaitMs;
         while (reactor_.now() < latest && !allReady()) reactor_.runUntil(reactor_.now() + 20);
         begin_ = reactor_.now();
+        sample();
         for (const auto& clients : clients_) clients->start();
         if (options_.churnPerSecond > 0 && options_.extraMembers > 0) churn();
         reactor_.runUntil(begin_ + kWarmUpMs);
@@ -62,12 +66,14 @@
             if (options_.troubles) trouble();
             reactor_.runUntil(std::min(end, reactor_.now() + 150 + 650 * drawReal(random_)));
         }
-        for (const auto& clients : clients_) clients->stop();
         measure();
         calm();
         reactor_.runUntil(reactor_.now() + kSettleAtEndMs);
+        // Clients use their connections up to the kill.
         for (const auto& process : processes_) process->stop();
-        reactor_.runUntil(reactor_.now() + longestDeadlineMs() + 1500);
+        reactor_.runUntil(reactor_.now() + options_.setting.killAfterMs());
+        for (const auto& clients : clients_) clients->stop();
+        reactor_.runUntil(reactor_.now() + options_.setting.longestDeadlineMs() + kAfterKillMs);
         return result();
     }
 
@@ -78,6 +84,39 @@
         double upSinceMs = 0;
     };
 
+    // ---- what was well, for the floor on service
+    void sample() {
+        std::set<int> well;
+        for (const auto& slot : servers_)
+            if (!slot.gone && slot.server->well()) well.insert(slot.server->place().cell);
+        for (int cell = 0; cell < options_.servers; ++cell)
+            noteState(EventKind::CellState, cell, well.count(cell) > 0, wellCells_);
+        for (std::size_t i = 0; i < processes_.size(); ++i) {
+            // One that was started in an outage may have to wait for its end.
+            const bool outage = agents_[i]->down() && processes_[i]->startedAt() > agents_[i]->downSince();
+            if (outage) markTroubled(i, kHeardAfterOutageMs);
+            noteState(EventKind::SchedulerState, static_cast<int>(i), reactor_.now() >= troubledUntil_[i],
+                      wellSchedulers_);
+        }
+        reactor_.after(kSampleMs, [this] { sample(); });
+    }
+    void noteState(EventKind kind, int who, bool well, std::map<int, bool>& last) {
+        const auto [known, first] = last.emplace(who, true);
+        if (known->second == well) return;
+        known->second = well;
+        Event event;
+        event.kind = kind;
+        event.at = reactor_.now();
+        event.status = well;
+        if (kind == EventKind::CellState) event.server = std::to_string(who);
+        else event.scheduler = who;
+        record_(event);
+    }
+    void markTroubled(std::size_t scheduler, double lastsMs) {
+        auto& until = troubledUntil_[scheduler];
+        until = std::max(until, reactor_.now() + lastsMs);
+    }
+
     bool allReady() const {
         return std::all_of(processes_.begin(), processes_.end(), [](const auto& p) { return p->ready(); });
     }
@@ -98,7 +137,8 @@
         for (int i = 0; i < options_.schedulers; ++i) ports.push_back(portSource_.take());
         ServerSlot slot;
         DiskServer::Place place{"s-" + std::to_string(servers_.size()), cell % 2 ? "b" : "a", cell};
-        slot.server = std::make_unique<DiskServer>(reactor_, random_, record_, place, std::move(ports));
+        slot.server = std::make_unique<DiskServer>(reactor_, random_, record_, place, std::move(ports),
+                                                   options_.setting);
         if (cold) {
             slot.server->startCold();
             slot.upSinceMs = wallMs();
@@ -188,6 +228,38 @@
         });
     }
 
+    // New connections to a server come up late: their first tries are lost, and are made again a second
+    // later.
+    void lateConnections() {
+        auto* slot = drawServer();
+        if (!slot) return;
+        const auto index = static_cast<std::size_t>(slot - servers_.data());
+        script("connections to " + slot->server->place().id + " come up late");
+        slot->server->loseFirstTries(true);
+        reactor_.after(200 + 1300 * drawReal(random_),
+                       [this, index] { servers_[index].server->loseFirstTries(false); });
+    }
+    // Half of the schedulers reach no server of zone b, and their agents hear nothing.
+    void cutNetwork() {
+        const int from = drawBelow(random_, options_.schedulers);
+        const int many = std::max(1, options_.schedulers / 2);
+        const double lasts = 500 + 3500 * drawReal(random_);
+        script("a cut between zone b and " + std::to_string(many) + " schedulers from n" +
+               std::to_string(from));
+        for (int n = 0; n < many; ++n) {
+            const int scheduler = (from + n) % options_.schedulers;
+            const auto i = static_cast<std::size_t>(scheduler);
+            markTroubled(i, lasts + 1000);
+            agents_[i]->setDown(true);
+            for (auto& slot : servers_)
+                if (slot.server->place().zone == "b") slot.server->cutOff(scheduler, true);
+            reactor_.after(lasts, [this, i, scheduler] {
+                agents_[i]->setDown(false);
+                for (auto& slot : servers_) slot.server->cutOff(scheduler, false);
+            });
+        }
+    }
+
     // ---- schedulers
     std::size_t drawScheduler() { return static_cast<std::size_t>(drawBelow(random_, options_.schedulers)); }
     void startProcess(std::size_t i) {
@@ -207,18 +279,106 @@
             const auto i = drawScheduler();
             if (!processes_[i]->running() || processes_[i]->stopping()) continue;
             script((planned ? "stop n" : "kill n") + std::to_string(i));
-            if (planned) processes_[i]->stop();
-            else processes_[i]->kill();
+            if (planned) stopPlanned(i);
+            else killNow(i);
             restartWhenGone(i, 100 + 700 * drawReal(random_));
         }
     }
+    void stopPlanned(std::size_t i) {
+        processes_[i]->stop();
+        if (chance(random_, 0.25)) {
+            script("another SIGTERM to n" + std::to_string(i));
+            reactor_.after(20 + 1500 * drawReal(random_), [this, i] { processes_[i]->stopAgain(); });
+        }
+        if (chance(random_, 0.25)) {
+            script("a new configuration between SIGTERM and the kill of n" + std::to_string(i));
+            reactor_.after(5 + 1000 * drawReal(random_), [this, i] { moveDiscovery(i, false); });
+        }
+    }
+    void killNow(std::size_t i) {
+        if (chance(random_, 0.5)) clients_[i]->crowdLeaves();  // in the moment of the kill
+        processes_[i]->kill();
+    }
+    // Told to stop before it is ready, or has even taken its signals.
+    void stopDuringStart() {
+        const auto i = drawScheduler();
+        if (!processes_[i]->running() || processes_[i]->stopping()) return;
+        script("kill, start and stop n" + std::to_string(i));
+        killNow(i);
+        startProcess(i);
+        reactor_.after(1 + 400 * drawReal(random_) * drawReal(random_), [this, i] {
+            processes_[i]->stop();
+            restartWhenGone(i, 200);
+        });
+    }
+    // A server drains, discovery goes down with the word at its agents, and most of the fleet is killed at
+    // once.
+    void killMostInAnOutage() {
+        if (agents_.front()->down()) return;
+        script("a drain, an outage, and seven in ten killed at once");
+        drainServer();
+        const double lasts = 1000 + 7000 * drawReal(random_);
+        reactor_.after(250, [this, lasts] {
+            for (const auto& agent : agents_) agent->setDown(true);
+            reactor_.after(lasts, [this] {
+                for (const auto& agent : agents_) agent->setDown(false);
+            });
+        });
+        reactor_.after(300 + 1000 * drawReal(random_), [this] {
+            for (std::size_t i = 0; i < processes_.size(); ++i) {
+                if (!processes_[i]->running() || processes_[i]->stopping() || !chance(random_, 0.7)) continue;
+                killNow(i);
+                restartWhenGone(i, 50 + 300 * drawReal(random_));
+            }
+        });
+    }
+    void stopAQuarter() {
+        script("a quarter stopped together");
+        for (std::size_t i = 0; i < processes_.size(); ++i) {
+            if (!processes_[i]->running() || processes_[i]->stopping() || !chance(random_, 0.25)) continue;
+            stopPlanned(i);
+            restartWhenGone(i, 100);
+        }
+    }
+    void crowd() {
+        if (!options_.crowds) return;
+        const auto i = drawScheduler();
+        const double lasts = 1000 + 4000 * drawReal(random_);
+        script("a crowd at n" + std::to_string(i));
+        markTroubled(i, lasts + 3000);
+        clients_[i]->crowd(static_cast<int>(1.6 * static_cast<double>(options_.setting.sockets)), lasts);
+        const int then = drawBelow(random_, 4);
+        if (then == 0)
+            reactor_.after(300, [this, i] {
+                processes_[i]->stop();
+                restartWhenGone(i, 300);
+            });
+        if (then == 1)
+            reactor_.after(300, [this, i] {
+                if (!processes_[i]->running() || processes_[i]->stopping()) return;
+                agents_[i]->setDown(true);
+                killNow(i);
+                startProcess(i);
+                reactor_.after(500 + 3000 * drawReal(random_), [this, i] { agents_[i]->setDown(false); });
+            });
+    }
     // A new configuration names another address of discovery; at times the file is seen half written.
     void reload() {
         const auto i = drawScheduler();
         if (!processes_[i]->ready() || processes_[i]->startedAt() + 1000 > reactor_.now()) return;
         script("reload n" + std::to_string(i));
+        moveDiscovery(i, chance(random_, 0.3));
+        // In quick succession.
+        const int more = chance(random_, 0.5) ? 1 + drawBelow(random_, 6) : 0;
+        double at = 0;
+        for (int n = 0; n < more; ++n) {
+            at += 5 + 295 * drawReal(random_);
+            reactor_.after(at, [this, i] { moveDiscovery(i, chance(random_, 0.2)); });
+        }
+    }
+    void moveDiscovery(std::size_t i, bool torn) {
+        if (!processes_[i]->running()) return;
         agents_[i]->moveTo(portSource_.take());
-        const bool torn = chance(random_, 0.3);
         processes_[i]->writeConfiguration(agents_[i]->port(), agents_[i]->oldList(0),
                                           torn ? 200 : std::string::npos);
         processes_[i]->reload();
@@ -267,6 +427,7 @@
             control.permille[static_cast<std::size_t>(fault)].store(permille);
         };
         const int what = drawBelow(random_, 4);
+        markTroubled(i, 2500);
         script("system calls of n" + std::to_string(i) + " fail, kind " + std::to_string(what));
         if (what == 0) rate(Fault::Accept, 300), rate(Fault::Socket, 200), rate(Fault::Connect, 200);
         if (what == 1) rate(Fault::ShortRead, 300), rate(Fault::ShortWrite, 300), rate(Fault::Interrupt, 300);
@@ -286,7 +447,7 @@
 
     void trouble() {
         const int many = 1 + drawBelow(random_, 3);
-        for (int n = 0; n < many; ++n) switch (drawBelow(random_, 13)) {
+        for (int n = 0; n < many; ++n) switch (drawBelow(random_, 20)) {
                 case 0:
                 case 1:
                     stopOrKill();
@@ -317,6 +478,25 @@
                 case 11:
                     jamLog();
                     break;
+                case 12:
+                    stopDuringStart();
+                    break;
+                case 13:
+                    killMostInAnOutage();
+                    break;
+                case 14:
+                    stopAQuarter();
+                    break;
+                case 15:
+                case 16:
+                    crowd();
+                    break;
+                case 17:
+                    lateConnections();
+                    break;
+                case 18:
+                    cutNetwork();
+                    break;
                 default:
                     burst();
             }
@@ -359,7 +539,8 @@
             if (event.kind == EventKind::Malformed) ++out.counts["malformed"];
         }
         for (auto& event : events_) event.at -= begin_;
-        out.breaches = judge(std::move(events_), termsOfRun());
+        out.breaches = judge(events_, termsOf(options_.setting));
+        out.events = std::move(events_);
         out.script = std::move(script_);
         out.worstLagMs = reactor_.worstLagMs();
         out.usage = usage_;
@@ -377,6 +558,8 @@
     std::vector<std::unique_ptr<Clients>> clients_;
     std::vector<ServerSlot> servers_;
     std::vector<std::string> script_;
+    std::map<int, bool> wellCells_, wellSchedulers_;
+    std::map<std::size_t, double> troubledUntil_;
     SchedulerProcess::Usage usage_;
     double begin_ = 0, wallOffsetMs_ = 0;
     int churned_ = 0;
@@ -390,12 +573,37 @@
     return world.run();
 }
 
+std::string recordText(const Result& result) {
+    auto events = result.events;
+    std::stable_sort(events.begin(), events.end(),
+                     [](const Event& a, const Event& b) { return a.at < b.at; });
+    std::ostringstream out;
+    out.setf(std::ios::fixed);
+    out.precision(1);
+    for (const auto& e : events) {
+        out << e.at << " " << nameOf(e.kind) << " n" << e.scheduler << "." << e.process;
+        const std::pair<const char*, const std::string*> texts[] = {
+            {"server", &e.server}, {"request", &e.request}, {"class", &e.requestClass}, {"volume", &e.volume},
+            {"key", &e.key},       {"zone", &e.zone},       {"words", &e.words}};
+        for (const auto& [name, text] : texts)
+            if (!text->empty()) out << " " << name << "=" << *text;
+        const std::pair<const char*, double> figures[] = {
+            {"connection", e.connection}, {"attempt", e.attempt}, {"status", e.status}, {"units", e.units},
+            {"timeout", e.timeoutMs},     {"read", e.read},       {"cold", e.cold},     {"age", e.ageMs}};
+        for (const auto& [name, figure] : figures)
+            if (figure != 0) out << " " << name << "=" << figure;
+        out << "\n";
+    }
+    return out.str();
+}
+
 std::string report(const Result& result, const Options& options) {
     std::ostringstream out;
-    out << "seed " << options.seed << ", " << options.schedulers << " schedulers, " << options.seconds
-        << " s:";
+    out << "seed " << options.seed << ", " << options.schedulers << " schedulers, " << options.seconds << " s"
+        << (options.crowds ? ", crowds" : "") << ":";
     for (const auto& [name, count] : result.counts) out << " " << name << " " << count << ",";
     out << " harness late by " << static_cast<int>(result.worstLagMs) << " ms at most\n";
+    out << "  settings: " << options.setting.summary() << "\n";
     char usage[96];
     std::snprintf(usage, sizeof usage,
                   "  mean of the processes: %.2f s of CPU, peak %.1f MB; %zu descriptors\n",
--- a/kit/soak/soak.hpp
+++ b/kit/soak/soak.hpp
@@ -14,6 +14,7 @@
 
 struct Result {
     std::vector<Breach> breaches;
+    std::vector<Event> events;          // the record that was judged
     std::vector<std::string> oddLines;  // what the schedulers logged as errors
     std::map<std::string, std::uint64_t> counts;
     std::vector<std::string> script;  // what was done, with times
@@ -23,5 +24,7 @@
 
 Result run(const Options& options);
 std::string report(const Result& result, const Options& options);
+// The record, one event a line, by time.
+std::string recordText(const Result& result);
 
 }  // namespace spokewheel::soak
--- a/tests/gateway/soak_judge_test.cpp
+++ b/tests/gateway/soak_judge_test.cpp
@@ -2,6 +2,9 @@
 // the same record without it passes.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <set>
+
 #include "kit/soak/judge.hpp"
 #include "kit/soak/setting.hpp"
 
@@ -68,6 +71,12 @@
         EXPECT_EQ(breaches[0].scheduler, kHost);
         EXPECT_FALSE(breaches[0].words.empty());
     }
+    void expectBreachOfClass(const std::string& name) {
+        const auto breaches = judge(record, termsOfRun());
+        ASSERT_EQ(breaches.size(), 1u);
+        EXPECT_EQ(nameOf(breaches[0].rule), std::string("service"));
+        EXPECT_EQ(breaches[0].words.find("class " + name + ": "), 0u) << breaches[0].words;
+    }
     void expectKept() {
         for (const auto& breach : judge(record, termsOfRun()))
             ADD_FAILURE() << nameOf(breach.rule) << ": " << breach.words;
@@ -279,11 +288,105 @@
     record.back().status = 139;
     expectBreach(Rule::Starts, "");
 }
+// The kill that ends a planned stop excuses nothing; an outright one does.
+TEST_F(SoakJudge, FindsWhatThePlannedKillLeavesUnanswered) {
+    record.pop_back();
+    record.push_back(sent(21000, "r2"));
+    record.push_back(event(EventKind::Killed, 21900));
+    record.push_back(event(EventKind::ProcessStarted, 30000));
+    record.back().process = 2;
+    record.push_back(event(EventKind::ProcessReady, 30100));
+    record.back().process = 2;
+    expectBreach(Rule::OneAnswer, "r2");
+    auto ended = event(EventKind::ConnectionEnded, 21900, "r2");
+    record.push_back(ended);  // not read: its client asks again
+    expectKept();
+    record.back().read = true;
+    expectBreach(Rule::OneAnswer, "r2");
+    record.erase(std::find_if(record.begin(), record.end(),
+                              [](const Event& e) { return e.kind == EventKind::StopRequested; }));
+    expectKept();  // killed outright
+}
+// One that is told to stop before it takes signals ends by the signal; one that was ready doesn't.
+TEST_F(SoakJudge, FindsAProcessThatIsEndedByItsStop) {
+    record.back().status = 143;
+    expectBreach(Rule::Starts, "");
+    record = {event(EventKind::ProcessStarted, -500), event(EventKind::StopRequested, -480),
+              event(EventKind::Exited, -470)};
+    record.back().status = 143;  // it was never ready
+    expectKept();
+}
+// Of what servers that are well could serve, a third has to be, in each class.
+TEST_F(SoakJudge, FindsASchedulerThatRefusesNearlyAll) {
+    const auto asked = [&](int served, const std::vector<Event>& states) {
+        record = soundRecord();
+        for (const auto& state : states) record.push_back(state);
+        for (int i = 0; i < 90; ++i) {
+            const auto id = "w" + std::to_string(i);
+            auto request = sent(100 + i, id);
+            request.cell = 2;
+            record.push_back(request);
+            record.push_back(answered(500 + i, id, i < served ? 200 : 503));
+        }
+    };
+    asked(30, {});
+    expectKept();
+    asked(29, {});
+    expectBreachOfClass("read");
+    // While the cell, or what surrounds the scheduler, is in trouble, nothing is demanded.
+    auto cell = event(EventKind::CellState, 50);
+    cell.server = "2";
+    asked(0, {cell});
+    expectKept();
+    auto around = event(EventKind::SchedulerState, 50);
+    asked(0, {around});
+    expectKept();
+    auto wellAgain = cell;
+    wellAgain.at = 90;
+    wellAgain.status = 1;
+    asked(29, {cell, wellAgain});
+    expectBreachOfClass("read");
+    auto elsewhere = cell;
+    elsewhere.server = "3";
+    asked(29, {elsewhere});
+    expectBreachOfClass("read");
+}
 TEST_F(SoakJudge, FindsAViolatedInvariant) {
     record.push_back(event(EventKind::Violation, 100));
     record.back().words = "kind";
     expectBreach(Rule::Invariants, "");
 }
 
+// Settings are the seed's alone, and differ from one to the next in all that is drawn.
+TEST(SoakSetting, IsDrawnBySeed) {
+    std::set<double> deadlines, colds;
+    std::set<std::size_t> sockets;
+    std::set<bool> peers;
+    int keyed = 0, once = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        const auto setting = drawSetting(seed);
+        EXPECT_EQ(setting.summary(), drawSetting(seed).summary());
+        for (const auto& plan : setting.classes) {
+            EXPECT_FALSE(plan.terms.once && plan.terms.byKey);
+            EXPECT_EQ(plan.terms.byKey, plan.terms.memoryMs > 0);
+            deadlines.insert(plan.deadlineMs);
+            keyed += plan.terms.byKey;
+            once += plan.terms.once;
+        }
+        EXPECT_GE(setting.coldUnits, 2 * setting.meanUnits);
+        EXPECT_EQ(setting.killAfterMs(), std::min(setting.longestDeadlineMs(), 3000.0) + 700);
+        colds.insert(setting.coldMs);
+        sockets.insert(setting.sockets);
+        peers.insert(setting.peers);
+    }
+    EXPECT_EQ(*deadlines.begin(), 300);
+    EXPECT_GT(*deadlines.rbegin(), 3000);
+    EXPECT_GT(colds.size(), 2u);
+    EXPECT_GT(sockets.size(), 2u);
+    EXPECT_EQ(peers.size(), 2u);
+    EXPECT_GT(keyed, 100);
+    EXPECT_GT(once, 100);
+}
+
 }  // namespace
 }  // namespace spokewheel::soak
