--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -170,27 +170,15 @@
     // ---------------------------------------------------------------- limit credits
     std::uint64_t subOf(double t) const { return static_cast<std::uint64_t>(std::max(0.0, t) / kSubMs); }
     void refill(Volume& v) {
-        const double dt = (now_ - v.filledAt) / 1000, rate = v.plan->limit * dt, b = 2.0 * v.hosts;
+        const double seconds = (now_ - v.filledAt) / 1000;
         v.filledAt = now_;
-        v.level = std::min(v.plan->limitBurst, v.level + rate);
-        // What an idle host's own half can't hold goes to the half that is lent.
-        while (!v.lent.empty() && v.lent.front().first <= now_) v.lent.pop_front();
-        double own = v.plan->limitBurst / b;  // what the half may hold: less what is lent of it
-        for (const auto& l : v.lent) own -= l.second;
-        const double over = std::max(0.0, v.even + rate / b - std::max(0.0, own));
-        v.even += rate / b - over;
-        // What is lent may be spent a subperiod later while this part fills again: leave that room.
-        const double room = v.hosts > 1 ? 1.5 * kSubMs / 1000 * v.plan->limit / b : 0;
-        const double most = std::max(0.0, (1 - 2 * kStartPart) * v.plan->limitBurst / b - room);
-        const double spill = std::max(0.0, v.lend + rate / b + over - most);
-        v.lend += rate / b + over - spill;
-        v.even += std::min(spill, std::max(0.0, own - v.even));
-        while (!v.gifts.empty() && v.gifts.front().first <= now_) v.gifts.pop_front();
+        v.level = std::min(v.plan->limitBurst, v.level + v.plan->limit * seconds);
+        v.share.refill(now_);
     }
     bool mayDraw(Volume& v, double units) {
         if (!v.limited()) return true;
         refill(v);
-        const bool may = v.credit - v.r >= units && v.guardLeft() >= units;
+        const bool may = v.credit - v.r >= units && v.share.available() >= units;
         v.starved = v.starved || !may;
         return may;
     }
@@ -199,14 +187,7 @@
         v.level -= units;
         v.r += units;
         v.total += std::ceil(units);
-        for (auto& g : v.gifts) {
-            const double take = std::min(units, g.second);
-            g.second -= take;
-            units -= take;
-        }
-        const double take = std::min(units, v.lend);
-        v.lend -= take;
-        v.even -= units - take;
+        v.share.draw(units);
     }
     void boundary() {
         const auto sub = subOf(now_);
@@ -363,6 +344,7 @@
         auto& v = volumes_[request.volume];
         if (!v.plan) begin(v, *plan, request.hosts);
         v.hosts = std::max(1, request.hosts);
+        v.share.setHosts(v.hosts);
         v.usedAt = now_;
         ++v.users;
         // Less time than this class ever came with has been spent before: a client's earlier try, or a stall
@@ -381,7 +363,8 @@
         v.hosts = std::max(1, hosts);
         if (!v.limited()) return;
         v.level = plan.limitBurst;
-        v.even = (kStartPart * plan.limitBurst + plan.slack) / v.hosts;
+        const double held = (kStartPart * plan.limitBurst + plan.slack) / v.hosts;
+        v.share.begin({plan.limit, plan.limitBurst}, v.hosts, startedAt_, held);
         refill(v);
         split(v);
     }
@@ -912,17 +895,15 @@
             }
             // One without work for long lends of its own half too, and keeps what a first request needs.
             const bool asleep = v.users == 0 && now_ > v.usedAt + kAsleepMs;
-            const double half = asleep ? std::max(0.0, v.even - set_.topUnits) : 0, lend = v.lend + half;
+            const double ofOwn = asleep ? std::max(0.0, v.share.own() - set_.topUnits) : 0;
+            const double lend = v.share.lendable() + ofOwn;
             for (auto& [rank, view] : v.peers) {
                 const double w = view.sub + 1 >= sub_ ? view.r + view.held : 0;
                 const double need = kLendMost * w / (v.hosts - 1);
                 const double gift = w > 0 ? std::floor(10 * std::min(need, lend * w / sum)) / 10 : 0;
                 if ((announce || !changed) && !view.greet && gift <= 0) continue;
                 view.greet = false;
-                const double ofHalf = std::max(0.0, gift - v.lend);
-                v.lend -= gift - ofHalf;
-                v.even -= ofHalf;
-                if (ofHalf > 0) v.lent.push_back({now_ + 2 * kSubMs, ofHalf});
+                v.share.lend(gift, now_ + 2 * kSubMs);
                 mineNow.gift = gift;
                 reports[rank].figures.push_back(mineNow);
             }
@@ -1001,8 +982,7 @@
             view.r = e.r;
             view.held = e.held;
             view.heardAt = now_;
-            if (!late && e.gift > 0 && e.gift <= v.plan->limitBurst)
-                v.gifts.push_back({now_ + kSubMs, e.gift});
+            if (!late && e.gift > 0 && e.gift <= v.plan->limitBurst) v.share.borrow(e.gift, now_ + kSubMs);
         }
     }
     // Memory stays bounded: what idles for long is dropped, once its parts are surely full again.
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "limit_share.hpp"
 #include "spokewheel/scheduler.hpp"
 
 namespace spokewheel {
@@ -61,23 +62,17 @@
 struct Volume {
     const Plan* plan = nullptr;
     int hosts = 1;
-    // The rebuilt store (D), this host's figures of the subperiod, and the guard's own parts.
+    // The rebuilt store (D), this host's figures of the subperiod, and its share of the store.
     double level = 0, filledAt = 0, credit = 0, r = 0, rLast = 0, held = 0, part = 1;
     bool first = true, starved = false, busy = false;  // busy: told r or Q above zero last
     int users = 0;
     double total = 0, usedAt = 0, announcedAt = 1e18;
-    double even = 0, lend = 0;
-    std::deque<std::pair<double, double>> gifts, lent;  // expiry, units; lent: of the own half
+    LimitShare share;
     std::map<int, PeerView> peers;
     std::deque<Second> seconds;
     double reserveStore = 0, reserveAt = 0, beyondAt = -1e18, fairStore = 0, fairAt = 0;
     double served = 0, servedAt = 0, metered = -1, meteredAt = -1e18;
     bool limited() const { return plan->limit > 0; }
-    double guardLeft() const {
-        double sum = even + lend;
-        for (const auto& g : gifts) sum += g.second;
-        return sum;
-    }
 };
 
 struct Sent {
