Log what a scheduler holds of each limit, and pulses that no collector cuts off

Now `limit_account` tells a volume's parts, the rebuilt level, the credit and the units sent at its first sight, when it was short (at most once in 2 s), when it was forgotten and at the end of the process; the pulse is six lines by subject and comes at the end too. src/platform/report takes them out of the wiring.

Test: Scenario.NoLogLineIsCutShortAndTheEndTellsWhatWasHeldOfLimits, red without either.

--- a/include/spokewheel/scheduler.hpp
+++ b/include/spokewheel/scheduler.hpp
@@ -55,6 +55,7 @@
     double extraFloor = 0, extraShare = 0, extraSpanMs = 0;  // a span of 0: no budget on attempts
     double meanUnits = 1, topUnits = 1, fairWorth = 1, spareWorth = 1, meterMs = 0;
     std::string zone;
+    bool noteLimits = false;  // LimitNote actions are wanted
 };
 
 // ---- events ----
@@ -146,7 +147,23 @@
 };
 struct Subscribe {};
 struct FetchList {};
-using Action = std::variant<Attempt, Refuse, Fail, Cancel, Probe, TellPeers, Remind, Subscribe, FetchList>;
+// What this host holds of one volume's limit; for the log alone. Units, but for `hosts`.
+struct LimitNote {
+    enum class Moment {
+        FirstSight,  // it is met for the first time, or after it was forgotten
+        Short,       // a request had to wait for it; at most once in a period of the credits
+        Forgotten,   // it was idle for long
+        Asked        // by Scheduler::limitNotes
+    };
+    Moment moment = Moment::Asked;
+    std::int64_t volume = 0;
+    int hosts = 1;
+    double own = 0, lendable = 0, borrowed = 0;  // the parts that this host may draw from
+    double level = 0, credit = 0;                // the store as rebuilt, and what is left of the credit
+    double sent = 0;                             // first sends since the first sight
+};
+using Action =
+    std::variant<Attempt, Refuse, Fail, Cancel, Probe, TellPeers, Remind, Subscribe, FetchList, LimitNote>;
 
 class Scheduler {
   public:
@@ -162,6 +179,8 @@
     // where time has passed since the step that asked for it (a connection had to be made); where it may not,
     // nothing is sent and the verdict is NotSent. `attempt` counts the request's attempts from 0.
     bool mayBegin(double nowMs, const std::string& id, int attempt) const;
+    // Of each volume with a limit that is known, as of the last step.
+    std::vector<LimitNote> limitNotes() const;
 
   private:
     class Impl;
--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -195,6 +195,7 @@
     void operator()(const Remind& a) { head("REMIND") << ms(a.afterMs) << '\t' << 1 << '\n'; }
     void operator()(const Subscribe&) { head("KEEP_INFORMED") << 1 << '\n'; }
     void operator()(const FetchList&) { out_ << "GET_LIST\t" << instance_ << '\n'; }
+    void operator()(const LimitNote&) {}  // never asked for here
     void exception(const std::string& words) { head("EXCEPTION") << words << '\n'; }
 
   private:
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -249,5 +249,8 @@
 void Host::act(const FetchList&) {
     if (edges_.fetchList) edges_.fetchList();
 }
+void Host::act(const LimitNote& a) {
+    if (edges_.noteLimit) edges_.noteLimit(a);
+}
 
 }  // namespace spokewheel::host
--- a/src/host/host.hpp
+++ b/src/host/host.hpp
@@ -62,6 +62,7 @@
         std::function<void(const char* event, const std::string& request, const std::string& node,
                            const std::string& words)>
             note;
+        std::function<void(const LimitNote&)> noteLimit;  // where the settings ask for notes
     };
     // Throws std::invalid_argument where the settings contradict themselves. `mostHeld` is how many requests
     // the module holds at once; more wait here in order of arrival, their time running.
@@ -87,6 +88,7 @@
     // The process's violations; the front and the daemon count theirs here too.
     invariants::Monitor& monitor() { return monitor_; }
     int shardOf(const std::string& node) const;
+    std::vector<LimitNote> limitNotes() const { return scheduler_.limitNotes(); }
 
   private:
     struct Request {
@@ -111,6 +113,7 @@
     void act(const Remind& a);
     void act(const Subscribe&);
     void act(const FetchList&);
+    void act(const LimitNote& a);
     void onResult(const std::string& id, int attempt, const std::string& node, AttemptResult result);
     void finish(const std::string& id, Answer answer);
     void note(const char* event, const std::string& id, const std::string& node, const std::string& words) {
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -138,6 +138,7 @@
         c.module = settings::settingsFrom(paths);
         paths.get("ceilings.dial-timeout-ms", c.dialTimeoutMs);
         paths.get("ceilings.conn-idle-ms", c.connIdleMs);
+        c.module.noteLimits = true;
         c.module.maxOpen = mostOpen(c.sockets, c.module.maxOpen);
     } catch (const settings::Fault& fault) {
         file.fail("settings." + fault.path, fault.expected);
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -8,6 +8,7 @@
 #include "platform/decide_start.hpp"
 #include "platform/decide_stop.hpp"
 #include "platform/dialect.hpp"
+#include "platform/report.hpp"
 
 namespace spokewheel::platform {
 
@@ -17,17 +18,6 @@
 
 constexpr double kPulseMs = 10000;
 
-// "closed=2 silent=1": the counts above zero of an enum with a Count, by name.
-template <class Enum, class Counts>
-std::string countsByName(const Counts& counts) {
-    std::string out;
-    for (std::size_t i = 0; i < counts.size(); ++i)
-        if (counts[i] > 0)
-            out += (out.empty() ? "" : " ") + std::string(nameOf(static_cast<Enum>(i))) + "=" +
-                   std::to_string(counts[i]);
-    return out;
-}
-
 }  // namespace
 
 PlatformDaemon::PlatformDaemon(std::string file, Environment environment, io::Loop& loop)
@@ -56,6 +46,7 @@
             log_.event(Level::Info, event, {{"request", request}, {"node", node}, {"words", words}},
                        io::nowMs());
         };
+    edges.noteLimit = [this](const LimitNote& note) { logLimit(log_, note); };
     // Requests wait in the module alone: how many there can be is bounded by the connections.
     host_ = std::make_unique<host::Host>(c.module, c.seed, std::numeric_limits<std::size_t>::max(),
                                          std::move(edges));
@@ -200,6 +191,8 @@
 void PlatformDaemon::drain() {
     stopTimer_.cancel();
     server_->drain([this] {
+        pulse();
+        for (const auto& note : host_->limitNotes()) logLimit(log_, note);
         log_.event(Level::Info, "stopped",
                    {{"open", std::to_string(host_->open())},
                     {"violations", std::to_string(host_->monitor().total())}},
@@ -208,40 +201,8 @@
     });
 }
 
-// A pulse in the log, so that counts can be followed without asking.
 void PlatformDaemon::pulse() {
-    const auto& c = host_->counters();
-    const auto text = [](auto n) { return std::to_string(n); };
-    std::string outcomes;
-    for (const auto& [outcome, n] : c.outcomes)
-        outcomes += (outcomes.empty() ? "" : " ") + text(static_cast<int>(outcome)) + "=" + text(n);
-    std::string ends;
-    for (const auto& [reason, n] : c.ends)
-        ends += (ends.empty() ? "" : " ") + std::string(host::nameOf(reason)) + "=" + text(n);
-    log_.event(Level::Info, "pulse",
-               {{"clients", text(server_->connections())},
-                {"most", text(server_->counts().most)},
-                {"errors", text(server_->counts().errors)},
-                {"gave_way", text(server_->counts().gaveWay)},
-                {"open", text(host_->open())},
-                {"taken", text(c.taken)},
-                {"served", text(c.served)},
-                {"refused", text(c.refused)},
-                {"failed", text(c.failed)},
-                {"attempts", text(c.attempts)},
-                {"outcomes", outcomes},
-                {"not_served", ends},
-                {"client_closes", countsByName<fronts::http::CloseReason>(server_->counts().closes)},
-                {"node_closes", countsByName<nodes::LinkClose>(nodes_->closes())},
-                {"watch_faults", countsByName<registry::WatchFault>(watch_->faults())},
-                {"violations", text(host_->monitor().total())},
-                {"steps", text(c.steps)},
-                {"step_ms", text(c.stepMs)},
-                {"node_links", text(nodes_->connections())},
-                {"node_dials", text(nodes_->dials())},
-                {"peers_received", peers_ ? text(peers_->counts().received) : ""},
-                {"peers_unknown", peers_ ? text(peers_->counts().unknown) : ""}},
-               io::nowMs());
+    logPulse(log_, {*host_, *server_, *nodes_, *watch_, peers_.get(), host_->monitor().total()});
     pulseTimer_.arm(kPulseMs, [this] { pulse(); });
 }
 
--- /dev/null
+++ b/src/platform/report.cpp
@@ -0,0 +1,107 @@
+#include "platform/report.hpp"
+
+#include <cstdio>
+#include <iterator>
+#include <string>
+
+namespace spokewheel::platform {
+
+using log::Level;
+
+namespace {
+
+template <class Number>
+std::string text(Number number) {
+    return std::to_string(number);
+}
+
+std::string unitsText(double units) {
+    char out[32];
+    std::snprintf(out, sizeof out, "%.2f", units);
+    return out;
+}
+
+// "closed=2 silent=1": the counts above zero of an enum with a Count, by name.
+template <class Enum, class Counts>
+std::string countsByName(const Counts& counts) {
+    std::string out;
+    for (std::size_t i = 0; i < counts.size(); ++i)
+        if (counts[i] > 0)
+            out += (out.empty() ? "" : " ") + std::string(nameOf(static_cast<Enum>(i))) + "=" +
+                   std::to_string(counts[i]);
+    return out;
+}
+
+std::string outcomesText(const host::Counters& counters) {
+    std::string out;
+    for (const auto& [outcome, count] : counters.outcomes)
+        out += (out.empty() ? "" : " ") + text(static_cast<int>(outcome)) + "=" + text(count);
+    return out;
+}
+
+std::string endsText(const host::Counters& counters) {
+    std::string out;
+    for (const auto& [reason, count] : counters.ends)
+        out += (out.empty() ? "" : " ") + std::string(host::nameOf(reason)) + "=" + text(count);
+    return out;
+}
+
+const char* nameOf(LimitNote::Moment moment) {
+    static constexpr const char* kNames[] = {"first_sight", "short", "forgotten", "end"};
+    static_assert(std::size(kNames) == static_cast<std::size_t>(LimitNote::Moment::Asked) + 1);
+    return kNames[static_cast<std::size_t>(moment)];
+}
+
+}  // namespace
+
+void logPulse(log::Log& log, const PulseSources& sources) {
+    const auto& c = sources.host.counters();
+    const auto& server = sources.server.counts();
+    const double now = io::nowMs();
+    log.event(Level::Info, "pulse",
+              {{"clients", text(sources.server.connections())},
+               {"most", text(server.most)},
+               {"open", text(sources.host.open())},
+               {"taken", text(c.taken)},
+               {"served", text(c.served)},
+               {"refused", text(c.refused)},
+               {"failed", text(c.failed)},
+               {"attempts", text(c.attempts)},
+               {"violations", text(sources.violations)}},
+              now);
+    log.event(Level::Info, "pulse_ends", {{"outcomes", outcomesText(c)}, {"not_served", endsText(c)}}, now);
+    log.event(Level::Info, "pulse_closes",
+              {{"client_closes", countsByName<fronts::http::CloseReason>(server.closes)}}, now);
+    log.event(Level::Info, "pulse_links",
+              {{"node_closes", countsByName<nodes::LinkClose>(sources.nodes.closes())}}, now);
+    log.event(Level::Info, "pulse_watch",
+              {{"watch_faults", countsByName<registry::WatchFault>(sources.watch.faults())}}, now);
+    log.event(Level::Info, "pulse_work",
+              {{"errors", text(server.errors)},
+               {"gave_way", text(server.gaveWay)},
+               {"steps", text(c.steps)},
+               {"step_ms", unitsText(c.stepMs)},
+               {"node_links", text(sources.nodes.connections())},
+               {"node_dials", text(sources.nodes.dials())},
+               {"peers_received", sources.peers ? text(sources.peers->counts().received) : ""},
+               {"peers_unknown", sources.peers ? text(sources.peers->counts().unknown) : ""}},
+              now);
+}
+
+void logLimit(log::Log& log, const LimitNote& note) {
+    char volume[20];
+    std::snprintf(volume, sizeof volume, "%016llx", static_cast<unsigned long long>(note.volume));
+    log.event(Level::Info, "limit_account",
+              {{"moment", nameOf(note.moment)},
+               {"volume", volume},
+               {"hosts", text(note.hosts)},
+               {"own", unitsText(note.own)},
+               {"lendable", unitsText(note.lendable)},
+               {"borrowed", unitsText(note.borrowed)},
+               {"level", unitsText(note.level)},
+               {"credit", unitsText(note.credit)},
+               {"sent", unitsText(note.sent)}},
+              io::nowMs());
+}
+
+}  // namespace spokewheel::platform
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -92,6 +92,13 @@
                !forgotten(q, now);
     }
 
+    std::vector<LimitNote> limitNotes() const {
+        std::vector<LimitNote> notes;
+        for (const auto& [id, v] : volumes_)
+            if (v.limited()) notes.push_back(noteOf(id, v, LimitNote::Moment::Asked));
+        return notes;
+    }
+
   private:
     // ---------------------------------------------------------------- membership
     // Ask sites: again after a failure, or when an answer stays out, spaced and jittered so that hosts
@@ -180,8 +187,30 @@
         refill(v);
         const bool may = v.credit - v.r >= units && v.share.available() >= units;
         v.starved = v.starved || !may;
+        v.wasShort = v.wasShort || !may;
         return may;
     }
+    static LimitNote noteOf(std::int64_t id, const Volume& v, LimitNote::Moment moment) {
+        LimitNote note;
+        note.moment = moment;
+        note.volume = id;
+        note.hosts = v.hosts;
+        note.own = v.share.own();
+        note.lendable = v.share.lendable();
+        note.borrowed = v.share.borrowed();
+        note.level = v.level;
+        note.credit = v.credit - v.r;
+        note.sent = v.total;
+        return note;
+    }
+    void note(std::int64_t id, const Volume& v, LimitNote::Moment moment) {
+        if (set_.noteLimits && v.limited()) out_.emplace_back(noteOf(id, v, moment));
+    }
+    void noteShortage(std::int64_t id, Volume& v) {
+        if (!std::exchange(v.wasShort, false) || now_ < v.noteShortFrom) return;
+        v.noteShortFrom = now_ + kPeriodMs;
+        note(id, v, LimitNote::Moment::Short);
+    }
     void draw(Volume& v, double units) {
         if (!v.limited()) return;
         v.level -= units;
@@ -201,6 +230,7 @@
             v.held = 0;
             if (!v.limited()) continue;
             refill(v);
+            noteShortage(id, v);
             v.credit = std::max(0.0, v.credit - v.r);
             v.rLast = v.r;
             v.r = 0;
@@ -342,7 +372,7 @@
         if (byId_.count(request.id)) return;
         if (!kind || !plan) return refuse(request.id, EndReason::UnknownKind);
         auto& v = volumes_[request.volume];
-        if (!v.plan) begin(v, *plan, request.hosts);
+        if (!v.plan) begin(request.volume, v, *plan, request.hosts);
         v.hosts = std::max(1, request.hosts);
         v.share.setHosts(v.hosts);
         v.usedAt = now_;
@@ -357,7 +387,7 @@
         if (q.ordered()) keys_[request.key].turn.push_back(&q);
         noteDue(v, request.units);
     }
-    void begin(Volume& v, const Plan& plan, int hosts) {
+    void begin(std::int64_t id, Volume& v, const Plan& plan, int hosts) {
         v.plan = &plan;
         v.filledAt = startedAt_;
         v.hosts = std::max(1, hosts);
@@ -367,6 +397,7 @@
         v.share.begin({plan.limit, plan.limitBurst}, v.hosts, startedAt_, held);
         refill(v);
         split(v);
+        note(id, v, LimitNote::Moment::FirstSight);
     }
     // All hosts share this volume, and one of them is short of credit: this one takes part before it has a
     // request of its own, so that what idles here can be lent.
@@ -377,7 +408,7 @@
         auto& v = volumes_[word.volume];
         if (!v.plan) {
             v.usedAt = -1e18;
-            begin(v, plan, set_.hosts);
+            begin(word.volume, v, plan, set_.hosts);
         }
         if (v.limited() && v.hosts == set_.hosts) v.peers[from].heardAt = now_;
     }
@@ -993,6 +1024,7 @@
             for (auto p = v.peers.begin(); p != v.peers.end();)
                 p = now_ > p->second.heardAt + kForgetMs ? v.peers.erase(p) : std::next(p);
             const bool idle = v.users == 0 && v.peers.empty() && now_ > v.usedAt + std::max(kForgetMs, full);
+            if (idle) note(it->first, v, LimitNote::Moment::Forgotten);
             it = idle ? volumes_.erase(it) : std::next(it);
         }
         for (auto it = keys_.begin(); it != keys_.end();)
@@ -1050,5 +1082,6 @@
 bool Scheduler::mayBegin(double nowMs, const std::string& id, int attempt) const {
     return impl_->mayBegin(nowMs, id, attempt);
 }
+std::vector<LimitNote> Scheduler::limitNotes() const { return impl_->limitNotes(); }
 
 }  // namespace spokewheel
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -65,6 +65,8 @@
     // The rebuilt store (D), this host's figures of the subperiod, and its share of the store.
     double level = 0, filledAt = 0, credit = 0, r = 0, rLast = 0, held = 0, part = 1;
     bool first = true, starved = false, busy = false;  // busy: told r or Q above zero last
+    bool wasShort = false;                             // in this subperiod
+    double noteShortFrom = 0;
     int users = 0;
     double total = 0, usedAt = 0, announcedAt = 1e18;
     LimitShare share;
--- a/tests/gateway/soak_scenario_test.cpp
+++ b/tests/gateway/soak_scenario_test.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <ctime>
 #include <filesystem>
+#include <fstream>
 #include <map>
 #include <memory>
 
@@ -368,6 +369,31 @@
                              [](const Event& e) { return e.kind == EventKind::Killed; }));
 }
 
+// The users' collector kept 300 characters of each line: pulses ended in the middle of a key, and what it
+// held of limits stood nowhere. Each line is a whole object now, and at its end a process tells both.
+TEST_F(Scenario, NoLogLineIsCutShortAndTheEndTellsWhatWasHeldOfLimits) {
+    options.logPipeBytes = 65536;
+    options.requestsPerSecond = 60;
+    startReady();
+    clients->start();
+    pass(1500);
+    clients->stop();
+    process->stop();
+    ASSERT_TRUE(runUntil(5000, [&] { return !process->running(); }));
+    pass(100);
+    std::ifstream log(options.folder + "/n0.log");
+    std::map<std::string, int> events;
+    for (std::string line; std::getline(log, line);) {
+        EXPECT_LE(line.size(), 300u) << line;
+        EXPECT_EQ(line.back(), '}') << line;
+        const auto from = line.find("\"event\":\"") + 9;
+        ++events[line.substr(from, line.find('"', from) - from)];
+    }
+    EXPECT_GT(events["pulse"], 0);
+    EXPECT_GT(events["pulse_ends"], 0);
+    EXPECT_GT(events["limit_account"], 1);
+}
+
 // SIGHUP comes while the new configuration is half written; the list service moves, and a server drains right
 // after: it is heard of at the new place in time.
 TEST_F(Scenario, AConfigurationThatIsReadHalfWrittenIsReadAgain) {
