StartFleet counts the answers of the present process alone

Traced: the answer came 0.06 and 0.11 ms after the start and was of the process before (life 1 of 2); it had been written before the kill and was read by the harness after it. What a killed process answered is no breach; the count now asks for the present process, which makes the demands for service after a start stricter too.

--- a/tests/gateway/soak_start_test.cpp
+++ b/tests/gateway/soak_start_test.cpp
@@ -125,10 +125,12 @@
             ADD_FAILURE() << nameOf(breach.rule) << " n" << breach.scheduler << " " << breach.request << ": "
                           << breach.words;
     }
+    // By the scheduler's present process: an answer of the one before may be read just after its end.
     std::size_t served(int scheduler, double from, double until = 1e18) const {
+        const int life = processes[static_cast<std::size_t>(scheduler)]->life();
         return static_cast<std::size_t>(std::count_if(events.begin(), events.end(), [&](const Event& e) {
             return e.kind == EventKind::Answered && e.status == 200 && e.scheduler == scheduler &&
-                   e.at >= from && e.at < until;
+                   e.process == life && e.at >= from && e.at < until;
         }));
     }
     template <class Condition>
