What a process forgot of a limit counts as spent; the rest is leased by pools

Seen by callers: volumes passed their limit by more than the slack while schedulers were restarted in series, and while a volume's requests moved from one scheduler to another.

Cause: a process that met a volume for the first time held a quarter of its burst, the slack and a full part of the store, counted from its own start, though the life before it, or the scheduler that had the volume until then, may just have spent them. A quarter of the burst was kept back for one start of all; the second drew on nothing. The logs (limit_account) showed it: 14.4 units held and a level of 40 of 40 at the first sight of each life. The class: what a process has forgotten, or never knew, was taken as unspent.

Change: without a witness all of a limit counts as drawn at the first sight. Each host's own part starts empty and has a quarter of the rate. The other three quarters lie in two pools, at two hosts found by hashing the volume's number, which start empty with their process and lease units for a second when asked (a new datagram, kind 7; a repeated ask gets the same lease; a pool counts a lease for 1.5 s). The exchange of r and Q and the credits stay as they are and decide who may send; the limit itself no longer depends on any report. Lending by gifts is gone. Hosts that report work beyond a volume's number count as its hosts; a volume that idles here while others work for it is forgotten. Units drawn for an attempt that has not begun are kept back (the host tells AttemptBegun), for the store may be full meanwhile.

Why it works: each part of the bucket is drawn from by one process alone, fills at its own rate from a moment at which it surely was not fuller than known, and all parts together are the bucket. No order of starts, losses or moves adds to it.

Guards taken out, and what failed: pool starts full: 20 plays of LimitLives; own part starts full: LimitLives, LimitShare.GivesBack...; nothing reserved: LimitShare.HoldsRoom...; nothing given back: LimitShare.GivesBack...; own part counted from the process's start: Split.WhatIsLeasedInALate...; moved volume kept: LimitShare.IsEmptyOnceTheVolumesRequestsMovedAwayAndCameBack; strangers not counted: LimitLives/13, /14; silent strangers counted: LimitLives/13, /15; lease counted too short, repeated ask, pool full beside its leases: QuotaPool.

Tests replaced, as strict: AStartedHostHoldsAQuarterOfItsPartAndTheSlack asked for the fault itself, and is AStartedHostHoldsWhatItSawFill with exact figures; tests of lending are tests of leases. ASilentHost, AFirstRequestIsNotHeldBack, VolumesWhoseNumbersEndAlike, AVolumeThatIsNeverShort: the same claims with what the parts hold. AShortageOfThisMachineFailsNoRequest waits until shares have filled, for a started process refuses harmlessly what it can't know to be free.

Checks that left, and what stands for each: 22, 25 and 30 units of a started host are 7, 9 and 15 (exact). The even part of 10 to 14 units is 10 to 18, for nothing is kept back for a start any more: 18 is the credit that the design gives, floor(36 / 2); this bound is wider, and what may be drawn is held by QuotaPool and LimitParts. Two sent after a silence: two, and a time by which. No word to a sharer, and no report of a volume never short: no report, and asks to pools counted (16 at most, two hosts, never all). WhatIsLentOfAHalfIsNotThereTwice: QuotaPool.WhatIsLeasedIsNotThereTwice, exact. WhatIsLentInALateMessageIsDropped: WhatIsLeasedInALateOrRepeatedAnswer- IsDropped, exact, and repeats too.

--- a/include/spokewheel/scheduler.hpp
+++ b/include/spokewheel/scheduler.hpp
@@ -56,6 +56,7 @@
     double meanUnits = 1, topUnits = 1, fairWorth = 1, spareWorth = 1, meterMs = 0;
     std::string zone;
     bool noteLimits = false;  // LimitNote actions are wanted
+    bool tellsBegun = false;  // the caller tells AttemptBegun
 };
 
 // ---- events ----
@@ -77,6 +78,11 @@
     int shard = -1;  // -1: a new object, any node may take it
     int hosts = 1;   // through how many hosts the volume works
 };
+// The first byte of an attempt is about to be written. Told where Settings::tellsBegun; elsewhere an attempt
+// begins as it is asked for.
+struct AttemptBegun {
+    std::string id;
+};
 struct Verdict {
     std::string id, node;
     Outcome outcome = Outcome::Served;
@@ -105,8 +111,8 @@
 struct AnswerBy {
     double atMs = 0;
 };
-using Event = std::variant<ListUpdate, Request, Verdict, AnswerStarted, ClientGone, ProbeResult, Wake,
-                           PeerMessage, AnswerBy>;
+using Event = std::variant<ListUpdate, Request, AttemptBegun, Verdict, AnswerStarted, ClientGone, ProbeResult,
+                           Wake, PeerMessage, AnswerBy>;
 
 // ---- actions ----
 struct Attempt {
@@ -158,9 +164,10 @@
     Moment moment = Moment::Asked;
     std::int64_t volume = 0;
     int hosts = 1;
-    double own = 0, lendable = 0, borrowed = 0;  // the parts that this host may draw from
-    double level = 0, credit = 0;                // the store as rebuilt, and what is left of the credit
-    double sent = 0;                             // first sends since the first sight
+    double own = 0, leased = 0;    // the parts that this host may draw from
+    double reserved = 0;           // drawn for attempts that have not begun
+    double level = 0, credit = 0;  // the store as rebuilt, and what is left of the credit
+    double sent = 0;               // first sends since the first sight
 };
 using Action =
     std::variant<Attempt, Refuse, Fail, Cancel, Probe, TellPeers, Remind, Subscribe, FetchList, LimitNote>;
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -7,8 +7,20 @@
 
 namespace spokewheel::host {
 
+namespace {
+
+Settings withBegunTold(Settings settings) {
+    settings.tellsBegun = true;
+    return settings;
+}
+
+}  // namespace
+
 Host::Host(const Settings& settings, std::uint64_t seed, std::size_t mostHeld, Edges edges)
-    : settings_(settings), edges_(std::move(edges)), scheduler_(settings, seed), mostHeld_(mostHeld) {
+    : settings_(withBegunTold(settings)),
+      edges_(std::move(edges)),
+      scheduler_(settings_, seed),
+      mostHeld_(mostHeld) {
     char prefix[40];
     std::snprintf(prefix, sizeof prefix, "h%d-%012llx-", settings.rank,
                   static_cast<unsigned long long>(seed & 0xffffffffffffULL));
@@ -162,7 +174,9 @@
     const auto awaited = requests_.at(id).work.awaited;
     if (awaited && (!awaited() || !stillOpen())) return false;
     const double now = io::nowMs();
-    return scheduler_.mayBegin(now, id, attempt) && guard_.mayBegin(id, attempt, node, now);
+    if (!scheduler_.mayBegin(now, id, attempt) || !guard_.mayBegin(id, attempt, node, now)) return false;
+    events_.emplace_back(AttemptBegun{id});  // the next step comes soon enough
+    return true;
 }
 
 void Host::onResult(const std::string& id, int attempt, const std::string& node, AttemptResult result) {
--- a/src/policy/limit_share.cpp
+++ b/src/policy/limit_share.cpp
@@ -3,63 +3,48 @@
 #include <algorithm>
 
 namespace spokewheel {
-namespace {
 
-constexpr double kStartPart = 0.25;  // of a share: kept back in running, held at a (re)start
-constexpr double kLentForMs = 375;   // from a loan's departure to its end at the borrower, at most
-
-}  // namespace
+void LimitShare::begin(TokenBucket own, int hosts, double fromMs) {
+    own_ = own;
+    hosts_ = hosts;
+    filledAtMs_ = fromMs;
+}
 
-void LimitShare::begin(TokenBucket bucket, int hosts, double filledAtMs, double held) {
-    bucket_ = bucket;
+void LimitShare::seen(TokenBucket own, int hosts, double nowMs) {
+    refill(nowMs);
+    // The other hosts may have worked since the last request told fewer of them.
+    if (hosts > hosts_) level_ -= earnedUnseen_ * (1 - static_cast<double>(hosts_) / hosts);
+    own_ = own;
     hosts_ = hosts;
-    filledAtMs_ = filledAtMs;
-    own_ = held;
+    earnedUnseen_ = 0;
 }
 
 void LimitShare::refill(double nowMs) {
-    const double seconds = (nowMs - filledAtMs_) / 1000;
-    const double fill = bucket_.rate * seconds / (2.0 * hosts_);
+    const double filled = own_.rate * (nowMs - filledAtMs_) / 1000;
     filledAtMs_ = nowMs;
-    while (!lentOfOwn_.empty() && lentOfOwn_.front().untilMs <= nowMs) lentOfOwn_.pop_front();
-    while (!borrowed_.empty() && borrowed_.front().untilMs <= nowMs) borrowed_.pop_front();
-    double ownMost = half();
-    for (const auto& lease : lentOfOwn_) ownMost -= lease.units;
-    // What an idle host's own half can't hold goes to the half that is lent.
-    const double over = std::max(0.0, own_ + fill - std::max(0.0, ownMost));
-    own_ += fill - over;
-    // What is lent may be spent a subperiod later while this part fills again: leave that room.
-    const double room = hosts_ > 1 ? kLentForMs / 1000 * bucket_.rate / (2.0 * hosts_) : 0;
-    const double lendableMost = std::max(0.0, (1 - 2 * kStartPart) * half() - room);
-    const double spill = std::max(0.0, lendable_ + fill + over - lendableMost);
-    lendable_ += fill + over - spill;
-    own_ += std::min(spill, std::max(0.0, ownMost - own_));
+    while (!leases_.empty() && leases_.front().untilMs <= nowMs) leases_.pop_front();
+    const double before = level_;
+    level_ = std::min(std::max(0.0, own_.burst - reserved_), level_ + filled);
+    earnedUnseen_ += std::max(0.0, level_ - before);
 }
 
-double LimitShare::borrowed() const {
+double LimitShare::leased() const {
     double units = 0;
-    for (const auto& lease : borrowed_) units += lease.units;
+    for (const auto& lease : leases_) units += lease.units;
     return units;
 }
 
-double LimitShare::available() const { return own_ + lendable_ + borrowed(); }
-
 void LimitShare::draw(double units) {
-    for (auto& lease : borrowed_) {
+    // The own part first, which fills again: what leases have left is used before they end in most cases.
+    const double ofOwn = std::min(units, std::max(0.0, level_));
+    level_ -= ofOwn;
+    units -= ofOwn;
+    for (auto& lease : leases_) {
         const double part = std::min(units, lease.units);
         lease.units -= part;
         units -= part;
     }
-    const double part = std::min(units, lendable_);
-    lendable_ -= part;
-    own_ -= units - part;
-}
-
-void LimitShare::lend(double units, double untilMs) {
-    const double ofOwn = std::max(0.0, units - lendable_);
-    lendable_ -= units - ofOwn;
-    own_ -= ofOwn;
-    if (ofOwn > 0) lentOfOwn_.push_back({untilMs, ofOwn});
+    level_ -= units;
 }
 
 }  // namespace spokewheel
--- a/src/policy/limit_share.hpp
+++ b/src/policy/limit_share.hpp
@@ -1,8 +1,12 @@
-// One host's share of a volume's limit. The limit is a token bucket that all hosts of the volume share. Each
-// host owns an even share of it that no other host draws from, so that no loss, delay or order of messages
-// lets all hosts together draw more than the bucket holds. Half of a share is kept; the other half may be
-// lent to another host, a subperiod at a time. Free of I/O and clocks: times are milliseconds on the host's
-// clock, amounts units.
+// One host's share of a volume's limit. The limit is a token bucket that all hosts of the volume share; its
+// tokens are split into parts, each drawn from by one host alone, so that no loss, delay or order of messages
+// lets all hosts together draw more than the bucket holds: an own part of each host, and parts that pools
+// lease out (quota_pool.hpp). Free of I/O and clocks: times are milliseconds on the host's clock, amounts
+// units.
+//
+// The own part starts empty at the last moment at which somebody else may have drawn from it, the process
+// before this one or a host that had the volume's requests: all of it counts as drawn then. From then on it
+// fills as fast as its part of the bucket does.
 #pragma once
 
 #include <deque>
@@ -16,36 +20,34 @@
 
 class LimitShare {
   public:
-    // `held`: what the share holds at `filledAtMs`, from which on it fills.
-    void begin(TokenBucket bucket, int hosts, double filledAtMs, double held);
-    // Through how many hosts the volume works.
-    void setHosts(int hosts) { hosts_ = hosts; }
+    // Empty at `fromMs`, and fills from then on. `own`: the part of one host of so many.
+    void begin(TokenBucket own, int hosts, double fromMs);
+    // A request says through how many hosts the volume works, and so what the own part is.
+    void seen(TokenBucket own, int hosts, double nowMs);
     void refill(double nowMs);
 
-    double available() const;
+    double available() const { return level_ + leased(); }
     void draw(double units);
+    // Units that were drawn for an attempt that has not begun. Until it has, the bucket has not given them,
+    // and may be full: this share stays as much smaller.
+    void reserve(double units) { reserved_ += units; }
+    void release(double units) { reserved_ -= units; }
+    // Units leased from a pool. They expire.
+    void lease(double units, double untilMs) { leases_.push_back({untilMs, units}); }
 
-    double own() const { return own_; }
-    double lendable() const { return lendable_; }
-    double borrowed() const;
-
-    // Gives units to another host; what `lendable` does not hold comes from the own half, which stays as much
-    // smaller until `untilMs`.
-    void lend(double units, double untilMs);
-    // Units that another host lent; they expire.
-    void borrow(double units, double untilMs) { borrowed_.push_back({untilMs, units}); }
+    double level() const { return level_; }  // of the own part
+    double leased() const;
+    double reserved() const { return reserved_; }
 
   private:
     struct Lease {
         double untilMs = 0, units = 0;
     };
-    double half() const { return bucket_.burst / (2.0 * hosts_); }
-
-    TokenBucket bucket_;
+    TokenBucket own_;
     int hosts_ = 1;
-    double filledAtMs_ = 0;
-    double own_ = 0, lendable_ = 0;
-    std::deque<Lease> borrowed_, lentOfOwn_;
+    double filledAtMs_ = 0, level_ = 0, reserved_ = 0;
+    double earnedUnseen_ = 0;  // filled since the last request told the number of hosts
+    std::deque<Lease> leases_;
 };
 
 }  // namespace spokewheel
--- a/src/policy/peer_messages.cpp
+++ b/src/policy/peer_messages.cpp
@@ -3,12 +3,16 @@
 #include <algorithm>
 #include <cmath>
 
+#include "limit_parts.hpp"
+
 namespace spokewheel {
 namespace {
 
-constexpr std::size_t kMost = 256;  // bytes of a message, by the wire
-constexpr unsigned char kReport = 2, kNotes = 3, kWords = 4;
+constexpr std::size_t kMost = 256;                                        // bytes of a message, by the wire
+constexpr unsigned char kReport = 2, kNotes = 3, kWords = 4, kQuota = 7;  // 5 and 6: wire/peer/membership.hpp
 constexpr double kStepMs = 8, kAgeStepMs = 100, kParts = 15, kTenths = 10;  // units of the coding
+constexpr unsigned char kQuotaAsk = 1, kQuotaAnswer = 2;
+constexpr int kMostHosts = 100000;
 constexpr std::uint64_t kLargest = 10000000;  // of any figure but a volume's number
 
 class Writer {
@@ -117,6 +121,55 @@
     return join(Writer(kNotes).bytes, entries);
 }
 
+std::vector<std::string> pack(const QuotaMessage& message) {
+    std::vector<std::string> entries;
+    for (const auto& ask : message.asks) {
+        Writer out(kQuotaAsk);
+        out.whole(static_cast<std::uint64_t>(ask.volume)).whole(ask.seq).whole(ask.plan).whole(ask.pool);
+        out.number(ask.hosts).number(std::ceil(kTenths * ask.least)).number(std::ceil(kTenths * ask.most));
+        entries.push_back(out.bytes);
+    }
+    for (const auto& answer : message.answers) {
+        Writer out(kQuotaAnswer);
+        out.whole(static_cast<std::uint64_t>(answer.volume)).whole(answer.seq);
+        out.number(std::floor(kTenths * answer.units)).number(std::ceil(answer.retryAfterMs));
+        entries.push_back(out.bytes);
+    }
+    return entries.empty() ? entries : join(Writer(kQuota).bytes, entries);
+}
+
+std::optional<QuotaMessage> readQuota(const std::string& bytes, const Settings& settings) {
+    Reader in(bytes);
+    if (bytes.size() > kMost || in.byte() != kQuota) return std::nullopt;
+    QuotaMessage message;
+    while (in.more()) {
+        const auto kind = in.byte();
+        const auto volume = static_cast<std::int64_t>(in.whole());
+        const auto seq = in.whole();
+        if (kind == kQuotaAsk) {
+            QuotaAsk ask{volume, seq};
+            ask.plan = in.whole();
+            ask.pool = in.whole();
+            ask.hosts = static_cast<int>(in.number());
+            ask.least = in.number() / kTenths;
+            ask.most = in.number() / kTenths;
+            const bool known = ask.plan < settings.plans.size() && settings.plans[ask.plan].limit > 0;
+            if (!known || ask.pool >= kPools || ask.hosts < 1 || ask.hosts > kMostHosts) return std::nullopt;
+            if (ask.least > settings.topUnits || ask.most < ask.least) return std::nullopt;
+            message.asks.push_back(ask);
+        } else if (kind == kQuotaAnswer) {
+            QuotaAnswer answer{volume, seq};
+            answer.units = in.number() / kTenths;
+            answer.retryAfterMs = in.number();
+            message.answers.push_back(answer);
+        } else {
+            return std::nullopt;
+        }
+    }
+    if (!in.good) return std::nullopt;
+    return message;
+}
+
 std::optional<Report> readReport(const std::string& bytes) {
     Reader in(bytes);
     if (bytes.size() > kMost || in.byte() != kReport) return std::nullopt;
--- a/src/policy/peer_messages.hpp
+++ b/src/policy/peer_messages.hpp
@@ -30,6 +30,26 @@
     std::size_t plan = 0;
 };
 
+// Between a host and a pool of a volume's limit (quota_pool.hpp). `plan` is a place in the settings' list,
+// `pool` tells which of the volume's pools is asked. The answer repeats volume and sequence; units of 0 are a
+// refusal.
+struct QuotaAsk {
+    std::int64_t volume = 0;
+    std::uint64_t seq = 0;
+    std::size_t plan = 0, pool = 0;
+    int hosts = 1;
+    double least = 0, most = 0;  // units
+};
+struct QuotaAnswer {
+    std::int64_t volume = 0;
+    std::uint64_t seq = 0;
+    double units = 0, retryAfterMs = 0;
+};
+struct QuotaMessage {
+    std::vector<QuotaAsk> asks;
+    std::vector<QuotaAnswer> answers;
+};
+
 // Between a host and the keeper of a node; `kind` and `plan` are places in the settings' lists.
 enum class NoteKind { Ask = 1, Grant, Ack, Done, Heat };
 struct Note {
@@ -48,10 +68,12 @@
 std::vector<std::string> pack(const Report& report);
 std::vector<std::string> pack(const std::vector<Introduction>& words);
 std::vector<std::string> pack(const std::vector<Note>& notes);
+std::vector<std::string> pack(const QuotaMessage& message);
 std::optional<Report> readReport(const std::string& bytes);
 std::optional<std::vector<Introduction>> readIntroductions(const std::string& bytes,
                                                            const Settings& settings);
 // Nothing where a figure is outside what the settings allow.
+std::optional<QuotaMessage> readQuota(const std::string& bytes, const Settings& settings);
 std::optional<std::vector<Note>> readNotes(const std::string& bytes, const Settings& settings);
 
 }  // namespace spokewheel
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -9,10 +9,13 @@
 #include <tuple>
 #include <unordered_map>
 
+#include "limit_parts.hpp"
 #include "peer_messages.hpp"
+#include "quota_pool.hpp"
 #include "settings_check.hpp"
 #include "spokewheel/scheduler.hpp"
 #include "state.hpp"
+#include "volume_users.hpp"
 
 namespace spokewheel {
 namespace {
@@ -28,9 +31,7 @@
     3;  // hosts whose subperiods differ by less count by one clock, late word apart
 constexpr double kMostApart = 1e12;         // of subperiods
 constexpr std::int64_t kMostLateSubs = 40;  // by which a host's first report may have come late
-constexpr double kGiftLateMs = 100;         // a gift this much later than its sender's best is dropped
 constexpr double kListAnswerMs = 4000, kListAgainMs = 700, kListJitter = 1.5;  // of asking for the list
-constexpr double kLendMost = 2;  // times what a host used and holds is lent to it by all together, at most
 constexpr double kLostMs = 250, kLostTimes = 8;         // after which a first attempt's answer counts as lost
 constexpr int kRefusedCounts = 2, kDroppedSuspect = 3;  // connections dropped with no answer in between
 constexpr int kKnownFrom = 10;                          // answers from which a node's times are known
@@ -39,9 +40,9 @@
 constexpr double kBeginLateMs = 500;  // an attempt begins as much later than it is decided, at most
 constexpr double kPauseMs = 150;      // the host may be held up as long between its clock and a write
 constexpr double kForgetMs = 30000;   // idle volumes and unheard peers are dropped; parts are full by then
-constexpr double kAsleepMs = 8000;    // without a request a host lends of its own half too
+constexpr double kIdleSubs = 2;       // without a request, after which word of others' work voids a share
 constexpr std::size_t kGuestsMost = 4096;  // volumes known, beyond which one from a peer's word is not taken
-constexpr double kStartPart = 0.25;        // of a guard part: kept back in running, held at a (re)start
+constexpr std::size_t kStrangersMost = 8;  // hosts beyond a volume's number whose word of it is kept
 // Nodes kept by one host for all: the shares of a cold node's budget that its keeper and two stand-ins have.
 constexpr std::array<double, 3> kKeeperParts = {0.7, 0.2, 0.1};
 constexpr double kAskWaitMs = 100, kAskWaitLeastMs = 30, kAskWaitMostMs = 200;  // until a keeper is deaf
@@ -64,6 +65,7 @@
         now_ = now;
         if (startedAt_ < 0) {
             startedAt_ = now_;
+            quotaPool_ = QuotaPool(now_);
             sub_ = subOf(now_);
             if (set_.subscribe) askAt_ = now_;
         }
@@ -75,6 +77,7 @@
         followList();
         expire();
         dispatch();
+        if (askPools()) dispatch();
         tellHeat();
         flushNotes();
         arm();
@@ -185,19 +188,23 @@
     bool mayDraw(Volume& v, double units) {
         if (!v.limited()) return true;
         refill(v);
-        const bool may = v.credit - v.r >= units && v.share.available() >= units;
-        v.starved = v.starved || !may;
-        v.wasShort = v.wasShort || !may;
-        return may;
+        const bool credit = v.credit - v.r >= units;
+        const bool share = v.share.available() >= units;
+        if (credit && !share) v.quota.want();
+        quotaWanted_ = quotaWanted_ || v.quota.wanted();
+        // Where there are pools, one that was just asked may still have it.
+        v.starved = v.starved || !credit || (!share && !pooled());
+        v.wasShort = v.wasShort || !credit || !share;
+        return credit && share;
     }
     static LimitNote noteOf(std::int64_t id, const Volume& v, LimitNote::Moment moment) {
         LimitNote note;
         note.moment = moment;
         note.volume = id;
         note.hosts = v.hosts;
-        note.own = v.share.own();
-        note.lendable = v.share.lendable();
-        note.borrowed = v.share.borrowed();
+        note.own = v.share.level();
+        note.leased = v.share.leased();
+        note.reserved = v.share.reserved();
         note.level = v.level;
         note.credit = v.credit - v.r;
         note.sent = v.total;
@@ -217,6 +224,15 @@
         v.r += units;
         v.total += std::ceil(units);
         v.share.draw(units);
+        if (set_.tellsBegun) v.share.reserve(units);
+    }
+    // What was drawn for the request is with its node, or never will be.
+    void release(Held& q) {
+        if (q.drawn && !std::exchange(q.begun, true) && set_.tellsBegun && q.volume->limited())
+            q.volume->share.release(q.request.units);
+    }
+    void on(const AttemptBegun& begun) {
+        if (const auto found = byId_.find(begun.id); found != byId_.end()) release(*found->second);
     }
     void boundary() {
         const auto sub = subOf(now_);
@@ -280,16 +296,25 @@
         return std::max(q.aimAt, q.arrived + kGiveUpPart * (q.deadline - q.arrived));
     }
 
+    // As many as its requests tell of, or more where more report work: then its requests have moved.
+    int hostsAtWork(const Volume& v) const {
+        int working = 1;
+        for (const auto& [rank, view] : v.peers) working += view.sub + 1 >= sub_ && view.r + view.held > 0;
+        return std::max(v.hosts, working);
+    }
+
     // The design's split: half of the rebuilt level evenly, half by w = Q + r, both floored. Hosts that have
     // not made themselves known count as idle: of many that share a volume most have no work for it.
     void split(Volume& v) {
         refill(v);
-        const double b = v.hosts, w = v.held + v.rLast;
+        const double b = hostsAtWork(v), w = v.held + v.rLast;
         double d = std::max(0.0, v.level + v.r), sum = w;
         int quiet = 0;
         for (auto& [rank, view] : v.peers)
             if (silent(view)) ++quiet;
             else sum += view.r + view.held;
+        // One beyond the volume's number is silent since its requests moved, not since its word was lost.
+        quiet = std::min(quiet, v.hosts - 1);
         const double part = std::floor(d / b);
         d = std::max(0.0, d - quiet * part);
         sum += quiet * part;
@@ -299,6 +324,73 @@
         v.part = sum > 0 ? std::max(1 / b, w / sum) : 1 / b;
     }
 
+    // ---------------------------------------------------------------- quota leases
+    bool pooled() const { return set_.mayTellPeers && set_.hosts > 1; }
+    LimitParts parts(const Volume& v) const {
+        return partsOf(*v.plan, hostsAtWork(v), set_.topUnits, pooled());
+    }
+    int poolHost(std::int64_t volume, std::size_t pool) const {
+        return spokewheel::poolHost(volume, pool, set_.hosts);
+    }
+    // For what waits and its own part does not cover. True: something was leased at once.
+    bool askPools() {
+        if (!std::exchange(quotaWanted_, false) || !pooled()) return false;
+        std::map<Volume*, std::vector<double>> waiting;
+        for (const auto& [seq, q] : held_)
+            if (!q->drawn && q->volume->quota.wanted() && now_ >= q->notBefore)
+                waiting[q->volume].push_back(q->request.units);
+        bool leased = false;
+        std::map<int, QuotaMessage> messages;
+        for (auto& [volume, units] : waiting) {
+            leased = askPool(*volume, units, messages) || leased;
+            wake(volume->quota.wakeAtMs(now_));
+        }
+        for (const auto& [rank, message] : messages)
+            for (const auto& bytes : pack(message)) out_.emplace_back(TellPeers{rank, bytes});
+        return leased;
+    }
+    bool askPool(Volume& v, const std::vector<double>& waiting, std::map<int, QuotaMessage>& messages) {
+        const auto plan = static_cast<std::size_t>(v.plan - set_.plans.data());
+        const auto ask = v.quota.next({waiting, v.share.available(), v.credit - v.r},
+                                      {v.id, ++seq_, plan, 0, hostsAtWork(v)}, now_);
+        if (!ask) return false;
+        const int rank = poolHost(v.id, ask->pool);
+        if (rank == set_.rank) return take(v, leaseFor(rank, *ask));
+        messages[rank].asks.push_back(*ask);
+        v.quota.sent(now_, 4 * peerDelay_);
+        return false;
+    }
+    QuotaAnswer leaseFor(int rank, const QuotaAsk& ask) {
+        const auto split = partsOf(set_.plans[ask.plan], ask.hosts, set_.topUnits, true);
+        const auto answer =
+            quotaPool_.lease(ask.volume, split.pools[ask.pool], {rank, ask.seq}, ask.least, ask.most, now_);
+        return {ask.volume, ask.seq, answer.units, answer.retryAfterMs};
+    }
+    bool take(Volume& v, const QuotaAnswer& answer) {
+        if (!v.quota.awaits(answer)) return false;
+        const auto untilMs = v.quota.leasedUntil(answer, now_);
+        wake(v.quota.wakeAtMs(now_));
+        if (untilMs) {
+            v.share.lease(answer.units, *untilMs);
+            return true;
+        }
+        v.starved = true;
+        v.level = std::min(v.level, v.quota.mostLeft(parts(v), hostsAtWork(v), now_));
+        return false;
+    }
+    void onQuota(int from, const QuotaMessage& message) {
+        for (const auto& answer : message.answers)
+            if (const auto found = volumes_.find(answer.volume);
+                found != volumes_.end() && found->second.limited() &&
+                answer.units <= found->second.plan->limitBurst)
+                take(found->second, answer);
+        QuotaMessage reply;
+        for (const auto& ask : message.asks)
+            if (pooled() && poolHost(ask.volume, ask.pool) == set_.rank)
+                reply.answers.push_back(leaseFor(from, ask));
+        for (const auto& bytes : pack(reply)) out_.emplace_back(TellPeers{from, bytes});
+    }
+
     // ---------------------------------------------------------------- node windows
     Node* holder(int shard) {
         const auto found = holders_.find(shard);
@@ -372,9 +464,10 @@
         if (byId_.count(request.id)) return;
         if (!kind || !plan) return refuse(request.id, EndReason::UnknownKind);
         auto& v = volumes_[request.volume];
-        if (!v.plan) begin(request.volume, v, *plan, request.hosts);
+        if (!v.plan)
+            begin(request.volume, v, *plan, request.hosts, undrawnFrom(request.volume, request.hosts));
         v.hosts = std::max(1, request.hosts);
-        v.share.setHosts(v.hosts);
+        if (v.limited()) v.share.seen(parts(v).own, hostsAtWork(v), now_);
         v.usedAt = now_;
         ++v.users;
         // Less time than this class ever came with has been spent before: a client's earlier try, or a stall
@@ -387,18 +480,27 @@
         if (q.ordered()) keys_[request.key].turn.push_back(&q);
         noteDue(v, request.units);
     }
-    void begin(std::int64_t id, Volume& v, const Plan& plan, int hosts) {
+    // A volume's first sight: what could have been drawn of it without this process's knowledge counts as
+    // drawn.
+    void begin(std::int64_t id, Volume& v, const Plan& plan, int hosts, double undrawnFrom) {
+        v.id = id;
         v.plan = &plan;
-        v.filledAt = startedAt_;
+        v.filledAt = undrawnFrom;
         v.hosts = std::max(1, hosts);
         if (!v.limited()) return;
-        v.level = plan.limitBurst;
-        const double held = (kStartPart * plan.limitBurst + plan.slack) / v.hosts;
-        v.share.begin({plan.limit, plan.limitBurst}, v.hosts, startedAt_, held);
+        if (pooled()) v.level = plan.limitBurst;  // as far as no pool refuses
+        v.share.begin(parts(v).own, v.hosts, pooled() ? now_ : undrawnFrom);
         refill(v);
         split(v);
         note(id, v, LimitNote::Moment::FirstSight);
     }
+    // From when on this host knows that its share was not drawn from: since its process started, for a
+    // volume's requests come through the hosts of its set alone; unless as many others as the set has hosts
+    // report work.
+    double undrawnFrom(std::int64_t volume, int hosts) {
+        return usersOf_.count(volume, now_) >= static_cast<std::size_t>(std::max(1, hosts)) ? now_
+                                                                                            : startedAt_;
+    }
     // All hosts share this volume, and one of them is short of credit: this one takes part before it has a
     // request of its own, so that what idles here can be lent.
     void join(int from, const Introduction& word) {
@@ -408,7 +510,7 @@
         auto& v = volumes_[word.volume];
         if (!v.plan) {
             v.usedAt = -1e18;
-            begin(word.volume, v, plan, set_.hosts);
+            begin(word.volume, v, plan, set_.hosts, now_);
         }
         if (v.limited() && v.hosts == set_.hosts) v.peers[from].heardAt = now_;
     }
@@ -840,7 +942,10 @@
             turn.remove(&q);
         }
         unhold(q);
-        if (q.owner < 0) --q.volume->users;
+        if (q.owner < 0) {
+            release(q);
+            --q.volume->users;
+        }
         const auto at = byId_.at(q.request.id);
         byId_.erase(q.request.id);
         pool_.erase(at);
@@ -906,36 +1011,23 @@
         std::map<int, Report> reports;
         std::vector<Introduction> words;
         for (auto& [id, v] : volumes_) {
-            if (!v.limited() || v.hosts < 2) continue;
+            if (!v.limited()) continue;
             const double mine = v.held + v.rLast;
-            double sum = mine;
-            for (auto& [rank, view] : v.peers)
-                if (view.sub + 1 >= sub_) sum += view.r + view.held;
-            CreditFigures mineNow{id, v.rLast, v.held, v.total, 0};
+            const CreditFigures mineNow{id, v.rLast, v.held, v.total, 0};
             const bool changed = mine > 0 || v.busy;
             v.busy = mine > 0;
-            // Where all share it, told again now and then: a restarted host has forgotten it.
+            // Told again now and then: the word may be lost, and a restarted host has forgotten it.
             const bool everywhere = v.hosts == set_.hosts;
-            const double since = now_ - v.announcedAt;
-            const bool announce = v.starved && (since < 0 || (everywhere && since > kForgetMs));
+            const bool announce = v.starved && now_ >= v.announceFrom;
             if (announce) {
                 reports[-1].figures.push_back(mineNow);
                 if (everywhere) words.push_back({id, static_cast<std::size_t>(v.plan - set_.plans.data())});
-                v.announcedAt = now_;
+                v.announceFrom = now_ + kForgetMs;
                 v.starved = false;
             }
-            // One without work for long lends of its own half too, and keeps what a first request needs.
-            const bool asleep = v.users == 0 && now_ > v.usedAt + kAsleepMs;
-            const double ofOwn = asleep ? std::max(0.0, v.share.own() - set_.topUnits) : 0;
-            const double lend = v.share.lendable() + ofOwn;
             for (auto& [rank, view] : v.peers) {
-                const double w = view.sub + 1 >= sub_ ? view.r + view.held : 0;
-                const double need = kLendMost * w / (v.hosts - 1);
-                const double gift = w > 0 ? std::floor(10 * std::min(need, lend * w / sum)) / 10 : 0;
-                if ((announce || !changed) && !view.greet && gift <= 0) continue;
+                if ((announce || !changed) && !view.greet) continue;
                 view.greet = false;
-                v.share.lend(gift, now_ + 2 * kSubMs);
-                mineNow.gift = gift;
                 reports[rank].figures.push_back(mineNow);
             }
         }
@@ -955,7 +1047,6 @@
         p.previous = p.heard ? p.incarnation : incarnation + 1;
         p.incarnation = incarnation;
         p.heard = true;
-        p.leastOffset = 1e18;
         p.shift = shiftOf(toldSub);
         return true;
     }
@@ -978,6 +1069,7 @@
         if (message.from < 0 || message.from >= set_.hosts || message.from == set_.rank) return;
         if (const auto notes = shared_ ? readNotes(message.bytes, set_) : std::nullopt)
             onNotes(message.from, *notes);
+        if (const auto quota = readQuota(message.bytes, set_)) onQuota(message.from, *quota);
         if (const auto words = readIntroductions(message.bytes, set_))
             for (const auto& word : *words) join(message.from, word);
         const auto report = readReport(message.bytes);
@@ -987,19 +1079,19 @@
         if (!meet(p, incarnation, toldSub)) return;
         const auto sub = ownSubperiod(p, toldSub);
         if (sub > sub_ + 2) return;
-        const double offset = now_ - static_cast<double>(sub) * kSubMs;
-        const bool late = offset > p.leastOffset + kGiftLateMs || p.leastOffset > 1e17;
-        p.leastOffset = std::min(p.leastOffset, offset);
         if (sub == sub_) {
             const double delay = std::clamp(now_ - boundaryAt_, set_.tickMs, kMostPeerWaitMs);
             peerDelay_ += 0.05 * (delay - peerDelay_);
         }
         for (const auto& e : figures) {
+            if (e.r + e.held > 0) usersOf_.heard(e.volume, message.from, now_);
             const auto found = volumes_.find(e.volume);
-            if (found == volumes_.end() || !found->second.limited()) continue;
+            if (found == volumes_.end() || !found->second.limited() || movedAway(found)) continue;
             auto& v = found->second;
             const auto known = v.peers.find(message.from);
-            if (known == v.peers.end() && static_cast<int>(v.peers.size()) + 1 >= v.hosts) continue;
+            if (known == v.peers.end() &&
+                v.peers.size() + 1 >= static_cast<std::size_t>(v.hosts) + kStrangersMost)
+                continue;
             auto& view = v.peers[message.from];
             const bool anew = known == v.peers.end() || view.incarnation != incarnation;
             if (anew ? view.heardAt > 0 && view.previous == incarnation : sub <= view.sub) continue;
@@ -1013,11 +1105,22 @@
             view.r = e.r;
             view.held = e.held;
             view.heardAt = now_;
-            if (!late && e.gift > 0 && e.gift <= v.plan->limitBurst) v.share.borrow(e.gift, now_ + kSubMs);
         }
     }
+    // A volume that idles here while as many others as it has hosts report work: its requests come through
+    // those, who may draw all of it. Its share here is void; true: it was forgotten.
+    bool movedAway(std::map<std::int64_t, Volume>::iterator at) {
+        const auto& v = at->second;
+        const bool idle = v.users == 0 && now_ > v.usedAt + kIdleSubs * kSubMs;
+        if (!idle || usersOf_.count(at->first, now_) < static_cast<std::size_t>(v.hosts)) return false;
+        note(at->first, v, LimitNote::Moment::Forgotten);
+        volumes_.erase(at);
+        return true;
+    }
     // Memory stays bounded: what idles for long is dropped, once its parts are surely full again.
     void dropIdle() {
+        usersOf_.forgetOld(now_);
+        quotaPool_.forgetFull(now_);
         for (auto it = volumes_.begin(); it != volumes_.end();) {
             auto& v = it->second;
             const double full = v.limited() ? 2000 * v.plan->limitBurst / v.plan->limit : 0;
@@ -1047,7 +1150,7 @@
     std::mt19937_64 random_;
     std::vector<Action> out_;
     double now_ = 0, startedAt_ = -1, nextWake_ = 1e18, armedAt_ = -1e18;
-    bool due_ = false, shared_ = false;
+    bool due_ = false, shared_ = false, quotaWanted_ = false;
     double askAt_ = 1e18, askWait_ = kAskWaitMs, boundaryAt_ = 0, peerDelay_ = kFirstPeerWaitMs / 2;
     double fairPerWeight_ = 0, beyond_ = 0, fairLearnedAt_ = 0;
     std::uint64_t sub_ = 0, seq_ = 0;
@@ -1059,6 +1162,8 @@
     std::map<int, std::set<std::string>> byShard_;  // ids of all known nodes
     std::set<std::string> leaving_;                 // gone, perhaps with something out
     std::map<std::int64_t, Volume> volumes_;
+    VolumeUsers usersOf_;
+    QuotaPool quotaPool_;  // what this host leases to others, and to itself
     std::map<int, Peer> peers_;
     std::list<Held> pool_;
     std::unordered_map<std::string, std::list<Held>::iterator> byId_;
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -10,7 +10,9 @@
 #include <utility>
 #include <vector>
 
-#include "limit_share.hpp"
+#include "limit_parts.hpp"
+#include "peer_messages.hpp"
+#include "quota_client.hpp"
 #include "spokewheel/scheduler.hpp"
 
 namespace spokewheel {
@@ -60,6 +62,7 @@
 };
 
 struct Volume {
+    std::int64_t id = 0;
     const Plan* plan = nullptr;
     int hosts = 1;
     // The rebuilt store (D), this host's figures of the subperiod, and its share of the store.
@@ -68,8 +71,9 @@
     bool wasShort = false;                             // in this subperiod
     double noteShortFrom = 0;
     int users = 0;
-    double total = 0, usedAt = 0, announcedAt = 1e18;
+    double total = 0, usedAt = 0, announceFrom = 0;
     LimitShare share;
+    QuotaClient quota;
     std::map<int, PeerView> peers;
     std::deque<Second> seconds;
     double reserveStore = 0, reserveAt = 0, beyondAt = -1e18, fairStore = 0, fairAt = 0;
@@ -101,7 +105,7 @@
     double askedAt = 0, askDue = 0, full = 0, fair = 0;
     bool acked = false;
     std::string boundZone;
-    bool mayHaveRun = false, ended = false, drawn = false, started = false;
+    bool mayHaveRun = false, ended = false, drawn = false, begun = false, started = false;
     bool ordered() const { return owner < 0 && kind->inOrder && request.key != -1; }
     std::int64_t keyMark() const { return request.key & 0x3fff; }  // the bits of a key that hosts tell
 };
@@ -112,7 +116,7 @@
 };
 
 struct Peer {
-    double leastOffset = 1e18, deafUntil = -1e18;
+    double deafUntil = -1e18;
     // Its present start and the one before; and by how many subperiods its numbers differ from the own ones.
     std::uint32_t incarnation = 0, previous = 0;
     std::int64_t shift = 0;
--- a/tests/gateway/soak_scenario_test.cpp
+++ b/tests/gateway/soak_scenario_test.cpp
@@ -482,6 +482,7 @@
     options.requestsPerSecond = 60;
     startReady();
     servers[0]->setInstant(true);
+    pass(1500);  // the volumes' shares are full, so that no limit refuses
     clients->start();
     pass(500);
     for (int i = 0; i < 4; ++i) {
