Node windows, volumes' dues, peers' clocks and rules of sending in modules of their own

Four parts of it that hold no state of others move out with whole names: node_window, volume_dues, peer_clock, send_rules.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -12,6 +12,7 @@
 #include "limit_parts.hpp"
 #include "peer_messages.hpp"
 #include "quota_pool.hpp"
+#include "send_rules.hpp"
 #include "settings_check.hpp"
 #include "spokewheel/scheduler.hpp"
 #include "state.hpp"
@@ -20,25 +21,16 @@
 namespace spokewheel {
 namespace {
 
-constexpr double kPeriodMs = 2000, kSubperiods = 8, kSubMs = kPeriodMs / kSubperiods;
-constexpr double kFirstPeerWaitMs = 50, kMostPeerWaitMs = kSubMs / 2;
-constexpr double kWindowStart = 4, kWindowMost = 24, kWindowLeast = 1;
-constexpr double kNarrow = 2.0, kWidenAt = 0.75, kBestDrift = 1.001;  // against the recent best
-constexpr double kAimPart = 0.3, kFinishPart = 0.5, kFairStep = 0.3, kMeterStep = 0.3;
+constexpr double kPeriodMs = 2000;
+constexpr double kFirstPeerWaitMs = 50, kMostPeerWaitMs = kSubperiodMs / 2;
+constexpr double kFinishPart = 0.5, kFairStep = 0.3;
 constexpr double kSeekGain = 1.6;  // a node does a repeat of what it just took for about half the work
-constexpr double kRetryMs = 40, kSuspectRetryMs = 300, kCanaryMs = 500;
-constexpr double kInStepSubs =
-    3;  // hosts whose subperiods differ by less count by one clock, late word apart
-constexpr double kMostApart = 1e12;         // of subperiods
-constexpr std::int64_t kMostLateSubs = 40;  // by which a host's first report may have come late
+constexpr double kSuspectRetryMs = 300, kCanaryMs = 500;
 constexpr double kListAnswerMs = 4000, kListAgainMs = 700, kListJitter = 1.5;  // of asking for the list
 constexpr double kLostMs = 250, kLostTimes = 8;         // after which a first attempt's answer counts as lost
 constexpr int kRefusedCounts = 2, kDroppedSuspect = 3;  // connections dropped with no answer in between
-constexpr int kKnownFrom = 10;                          // answers from which a node's times are known
-constexpr double kGiveUpPart = 0.48;  // of a request's time: one not sent by then is refused
-constexpr double kCrowdedPart = 0.5;  // of the requests that can be open at once
+constexpr double kCrowdedPart = 0.5;                    // of the requests that can be open at once
 constexpr double kBeginLateMs = 500;  // an attempt begins as much later than it is decided, at most
-constexpr double kPauseMs = 150;      // the host may be held up as long between its clock and a write
 constexpr double kForgetMs = 30000;   // idle volumes and unheard peers are dropped; parts are full by then
 constexpr double kIdleSubs = 2;       // without a request, after which word of others' work voids a share
 constexpr std::size_t kGuestsMost = 4096;  // volumes known, beyond which one from a peer's word is not taken
@@ -57,7 +49,7 @@
         validate(set_);
         incarnation_ = static_cast<std::uint32_t>(random_() & 0xffff);
         seq_ = random_() & 0xfffff;
-        shared_ = set_.mayTellPeers && set_.hosts > kWindowMost;
+        shared_ = set_.mayTellPeers && set_.hosts > NodeWindow::kMost;
     }
 
     std::vector<Action> step(double now, const std::vector<Event>& events) {
@@ -66,7 +58,7 @@
         if (startedAt_ < 0) {
             startedAt_ = now_;
             quotaPool_ = QuotaPool(now_);
-            sub_ = subOf(now_);
+            sub_ = subperiodOf(now_);
             if (set_.subscribe) askAt_ = now_;
         }
         for (const auto& event : events) std::visit([this](const auto& e) { on(e); }, event);
@@ -92,13 +84,13 @@
         const Sent& s = q.sent[static_cast<std::size_t>(attempt)];
         const bool counted = s.cold || !cold(*s.node);
         return s.open && s.node->lifecycle == Lifecycle::Ready && counted && now < q.deadline &&
-               !forgotten(q, now);
+               !forgottenByNodes(q, now);
     }
 
     std::vector<LimitNote> limitNotes() const {
         std::vector<LimitNote> notes;
         for (const auto& [id, v] : volumes_)
-            if (v.limited()) notes.push_back(noteOf(id, v, LimitNote::Moment::Asked));
+            if (v.limited()) notes.push_back(v.note(LimitNote::Moment::Asked));
         return notes;
     }
 
@@ -122,8 +114,7 @@
         std::set<std::string> named;
         for (const auto& entry : update.entries) {
             auto& n = nodes_[entry.node];
-            if (n.id.empty()) n.window = kWindowStart;
-            else byShard_[n.shard].erase(entry.node);
+            if (!n.id.empty()) byShard_[n.shard].erase(entry.node);
             const int before = std::exchange(n.shard, entry.shard);
             n.id = entry.node;
             n.zone = entry.zone;
@@ -178,7 +169,6 @@
     }
 
     // ---------------------------------------------------------------- limit credits
-    std::uint64_t subOf(double t) const { return static_cast<std::uint64_t>(std::max(0.0, t) / kSubMs); }
     void refill(Volume& v) {
         const double seconds = (now_ - v.filledAt) / 1000;
         v.filledAt = now_;
@@ -197,26 +187,13 @@
         v.wasShort = v.wasShort || !credit || !share;
         return credit && share;
     }
-    static LimitNote noteOf(std::int64_t id, const Volume& v, LimitNote::Moment moment) {
-        LimitNote note;
-        note.moment = moment;
-        note.volume = id;
-        note.hosts = v.hosts;
-        note.own = v.share.level();
-        note.leased = v.share.leased();
-        note.reserved = v.share.reserved();
-        note.level = v.level;
-        note.credit = v.credit - v.r;
-        note.sent = v.total;
-        return note;
-    }
-    void note(std::int64_t id, const Volume& v, LimitNote::Moment moment) {
-        if (set_.noteLimits && v.limited()) out_.emplace_back(noteOf(id, v, moment));
-    }
-    void noteShortage(std::int64_t id, Volume& v) {
+    void note(const Volume& v, LimitNote::Moment moment) {
+        if (set_.noteLimits && v.limited()) out_.emplace_back(v.note(moment));
+    }
+    void noteShortage(Volume& v) {
         if (!std::exchange(v.wasShort, false) || now_ < v.noteShortFrom) return;
         v.noteShortFrom = now_ + kPeriodMs;
-        note(id, v, LimitNote::Moment::Short);
+        note(v, LimitNote::Moment::Short);
     }
     void draw(Volume& v, double units) {
         if (!v.limited()) return;
@@ -235,8 +212,8 @@
         if (const auto found = byId_.find(begun.id); found != byId_.end()) release(*found->second);
     }
     void boundary() {
-        const auto sub = subOf(now_);
-        wake((static_cast<double>(sub) + 1) * kSubMs);
+        const auto sub = subperiodOf(now_);
+        wake((static_cast<double>(sub) + 1) * kSubperiodMs);
         if (sub <= sub_) return;
         sub_ = sub;
         boundaryAt_ = now_;
@@ -246,7 +223,7 @@
             v.held = 0;
             if (!v.limited()) continue;
             refill(v);
-            noteShortage(id, v);
+            noteShortage(v);
             v.credit = std::max(0.0, v.credit - v.r);
             v.rLast = v.r;
             v.r = 0;
@@ -291,10 +268,6 @@
         }
     }
     double usefulUntil(const Held& q) const { return now_ < q.aimAt || crowded() ? q.aimAt : giveUpAt(q); }
-    // One that was never sent is refused while its client can still go elsewhere.
-    double giveUpAt(const Held& q) const {
-        return std::max(q.aimAt, q.arrived + kGiveUpPart * (q.deadline - q.arrived));
-    }
 
     // As many as its requests tell of, or more where more report work: then its requests have moved.
     int hostsAtWork(const Volume& v) const {
@@ -400,13 +373,13 @@
     // No verdict while something has been out for far longer than usual: a hang, a dead machine, a long
     // pause or a very heavy request all look like this from here.
     bool silent(const Node& n) const {
-        return now_ - n.unansweredFrom > std::max(600.0, 8 * n.perUnit * set_.meanUnits);
+        return now_ - n.unansweredFrom > std::max(600.0, 8 * n.window.msPerUnit() * set_.meanUnits);
     }
     bool hasRoom(Node& n, double units) {
         if (n.lifecycle != Lifecycle::Ready || now_ < n.notBefore) return false;
         const double part = partOf(n.shard);
         if (silent(n) || (part <= 0 && !cold(n))) {
-            const double most = part > 0 ? n.window : kWindowLeast;
+            const double most = part > 0 ? n.window.size() : NodeWindow::kLeast;
             if (n.inflight >= most || now_ < n.lastSend + kCanaryMs) return false;
             if (!cold(n)) return true;  // a trial at a cold one draws on what all hosts may send there
         }
@@ -417,13 +390,13 @@
             const double grown = 1 + age * (1 / std::max(set_.coldShare, 0.01) - 1);
             // A keeper started just now may have sent before its start what still counts.
             const bool unsure = shared_ && now_ < startedAt_ + set_.fallMs;
-            if (unsure || n.inflight >= std::max(1.0, std::floor(age * n.window))) return false;
+            if (unsure || n.inflight >= std::max(1.0, std::floor(age * n.window.size()))) return false;
             const double from = now_ - set_.fallMs, beyond = 1 - 1 / std::max(1.0, set_.tipMultiple);
             const double mine = grown * set_.coldUnits * part, sent = n.coldSent.since(from);
             return sent + units <= mine + beyond * n.coldDone.since(from) ||
                    (!shared_ && sent <= 0 && lotFalls(n, units, mine));
         }
-        return n.inflight < std::floor(n.window);
+        return n.inflight < std::floor(n.window.size());
     }
     // Where this host's part of what a cold node bears is under one request, a lot drawn anew in each fall
     // time decides whether it sends one all the same: half as many on the mean as all together may, for a
@@ -431,30 +404,13 @@
     // hosts there are.
     bool lotFalls(Node& n, double units, double mine) {
         if (n.suspect && now_ >= n.coldFrom + set_.coldMs)
-            return now_ >= n.lastSend + kCanaryMs * (1 + set_.hosts / kWindowMost);
+            return now_ >= n.lastSend + kCanaryMs * (1 + set_.hosts / NodeWindow::kMost);
         if (now_ >= n.lotUntil) {
             n.lotUntil = now_ + set_.fallMs * (n.lotUntil < 0 ? uniform() : 1);
             n.lot = uniform();
         }
         return n.lot * 2 * units < mine;
     }
-    void learn(Node& n, double tookMs, double units, double aimMs, double sentAt) {
-        const double x = tookMs / std::max(1.0, units);
-        // A running mean against the lowest that it lately had: a single short answer is luck, not room.
-        ++n.samples;
-        n.perUnit += std::max(0.1, 1.0 / n.samples) * (x - n.perUnit);
-        n.best = n.samples <= 6 ? n.perUnit : std::min(n.best * kBestDrift, n.perUnit);
-        // Where a node was busy from the start its best is no guide; the aims are: time in the node past
-        // a part of the aim leaves no time to choose among what is held.
-        n.ofAim += std::max(0.1, 1.0 / n.samples) * (tookMs / aimMs - n.ofAim);
-        const double over = std::max(n.perUnit / n.best / kNarrow, n.ofAim / kAimPart);
-        if (over < kWidenAt && n.inflight + 1 >= n.window - 1) n.window += 1 / n.window;
-        if (over > 1 && sentAt > n.narrowedAt) {
-            n.window *= std::clamp(1 / over, 0.5, 0.9);
-            n.narrowedAt = now_;
-        }
-        n.window = std::clamp(n.window, kWindowLeast, kWindowMost);
-    }
 
     // ---------------------------------------------------------------- held queues and ordering
     void on(const Request& request) {
@@ -464,8 +420,7 @@
         if (byId_.count(request.id)) return;
         if (!kind || !plan) return refuse(request.id, EndReason::UnknownKind);
         auto& v = volumes_[request.volume];
-        if (!v.plan)
-            begin(request.volume, v, *plan, request.hosts, undrawnFrom(request.volume, request.hosts));
+        if (!v.plan) begin(request.volume, v, *plan, request.hosts);
         v.hosts = std::max(1, request.hosts);
         if (v.limited()) v.share.seen(parts(v).own, hostsAtWork(v), now_);
         v.usedAt = now_;
@@ -481,25 +436,19 @@
         noteDue(v, request.units);
     }
     // A volume's first sight: what could have been drawn of it without this process's knowledge counts as
-    // drawn.
-    void begin(std::int64_t id, Volume& v, const Plan& plan, int hosts, double undrawnFrom) {
+    // drawn. Without peers its requests come through this host alone, or its hosts' parts are fixed: nobody
+    // but the process before this one drew from the part.
+    void begin(std::int64_t id, Volume& v, const Plan& plan, int hosts) {
         v.id = id;
         v.plan = &plan;
-        v.filledAt = undrawnFrom;
+        v.filledAt = pooled() ? now_ : startedAt_;
         v.hosts = std::max(1, hosts);
         if (!v.limited()) return;
         if (pooled()) v.level = plan.limitBurst;  // as far as no pool refuses
-        v.share.begin(parts(v).own, v.hosts, pooled() ? now_ : undrawnFrom);
+        v.share.begin(parts(v).own, v.hosts, v.filledAt);
         refill(v);
         split(v);
-        note(id, v, LimitNote::Moment::FirstSight);
-    }
-    // From when on this host knows that its share was not drawn from: since its process started, for a
-    // volume's requests come through the hosts of its set alone; unless as many others as the set has hosts
-    // report work.
-    double undrawnFrom(std::int64_t volume, int hosts) {
-        return usersOf_.count(volume, now_) >= static_cast<std::size_t>(std::max(1, hosts)) ? now_
-                                                                                            : startedAt_;
+        note(v, LimitNote::Moment::FirstSight);
     }
     // All hosts share this volume, and one of them is short of credit: this one takes part before it has a
     // request of its own, so that what idles here can be lent.
@@ -510,7 +459,7 @@
         auto& v = volumes_[word.volume];
         if (!v.plan) {
             v.usedAt = -1e18;
-            begin(word.volume, v, plan, set_.hosts, now_);
+            begin(word.volume, v, plan, set_.hosts);
         }
         if (v.limited() && v.hosts == set_.hosts) v.peers[from].heardAt = now_;
     }
@@ -531,43 +480,10 @@
         return q;
     }
 
-    // What falls due to the volume for this second: the reserve's part of this host, then its share.
     void noteDue(Volume& v, double units) {
-        const double frac = fraction(v), rate = v.plan->reservation * frac;
-        const double most = rate + set_.topUnits;
-        v.reserveStore = std::min(most, v.reserveStore + rate * (now_ - v.reserveAt) / 1000);
-        v.reserveAt = now_;
-        const double fairRate = fairPerWeight_ * v.plan->weight * frac;
-        v.fairStore = std::min(fairRate + set_.topUnits, v.fairStore + fairRate * (now_ - v.fairAt) / 1000);
-        v.fairAt = now_;
-        const auto second = static_cast<std::int64_t>(now_ / 1000);
-        if (v.seconds.empty() || v.seconds.back().at != second) v.seconds.push_back({second, 0, 0});
-        while (v.seconds.size() > 16) v.seconds.pop_front();
-        auto& s = v.seconds.back();
-        const double full = std::min(units, v.reserveStore), fair = std::min(units - full, v.fairStore);
-        v.reserveStore -= full;
-        v.fairStore -= fair;
-        if (full < units) v.beyondAt = now_;
-        s.reserve += full;
-        s.fair += fair;
-    }
-    // This host's part of the volume's traffic: what it served against what the late meter says was
-    // served everywhere, at least half of an even part.
-    double fraction(Volume& v) {
-        if (v.hosts == 1) return 1;
-        if (now_ > v.meteredAt + 5000 || v.metered <= 0) return 1.0 / v.hosts;
-        return std::clamp(rateOf(v) / v.metered, 0.5 / v.hosts, 1.0);
-    }
-    double rateOf(Volume& v) {
-        v.served *= std::exp((v.servedAt - now_) / kPeriodMs);
-        v.servedAt = now_;
-        return v.served / (kPeriodMs / 1000);
-    }
-    Second* dueOf(const Held& q) {
-        const auto second = static_cast<std::int64_t>(q.arrived / 1000);
-        for (auto& s : q.volume->seconds)
-            if (s.at == second) return &s;
-        return nullptr;
+        const double part = v.dues.fraction(v.hosts, now_);
+        const VolumeDues::Rates rates{part * v.plan->reservation, fairPerWeight_ * v.plan->weight * part};
+        v.dues.arrive(units, rates, set_.topUnits, now_);
     }
     double worth(Held& q, double finish) {
         const double base = q.kind->points * q.plan->worthFactor;
@@ -579,12 +495,12 @@
     void appraise(Held& q) {
         if (q.owner >= 0) return;
         const double u = std::max(q.request.units, 1e-9);
-        const auto* s = dueOf(q);
+        const auto* s = q.volume->dues.of(q.arrived);
         q.full = s ? std::min(u, s->reserve) / u : 0;
         q.fair = s ? std::min(1 - q.full, s->fair / u) : 0;
     }
     void takeDue(const Held& q) {
-        auto* s = dueOf(q);
+        auto* s = q.volume->dues.of(q.arrived);
         if (!s) return;
         const double full = std::min(q.request.units, s->reserve);
         s->reserve -= full;
@@ -596,7 +512,8 @@
         if (now_ < fairLearnedAt_ + 1000) return;
         double weights = 0;
         for (auto& [id, v] : volumes_)
-            if (v.beyondAt > fairLearnedAt_) weights += v.plan->weight * fraction(v);
+            if (v.dues.beyondSince(fairLearnedAt_))
+                weights += v.plan->weight * v.dues.fraction(v.hosts, now_);
         const double rate = beyond_ * 1000 / std::min(2000.0, now_ - fairLearnedAt_);
         if (weights > 0) fairPerWeight_ += kFairStep * (rate / weights - fairPerWeight_);
         beyond_ = 0;
@@ -607,12 +524,6 @@
         const auto& k = keys_[q.request.key];
         return k.turn.front() == &q && now_ >= k.restUntil;
     }
-    bool mayGoTo(const Held& q, const Node& n) const {
-        if (q.request.shard >= 0 && n.shard != q.request.shard) return false;
-        if (!q.mayHaveRun || q.kind->effect != Effect::ByKey) return true;
-        if (q.kind->group == Group::Cell) return n.shard == q.boundShard;
-        return q.kind->group == Group::All || n.zone == q.boundZone;
-    }
     // A new object goes where it's likely done first, which also decides where its readers will go.
     Node* place(const Held& q) {
         if (q.goal >= 0) {
@@ -628,14 +539,16 @@
         }
         return found;
     }
-    double timeIn(const Node& n) { return std::max(n.perUnit, 1.0) * (1 + n.unitsOut + backlog_[n.shard]); }
-    bool full(const Node& n) const { return !cold(n) && n.inflight >= std::floor(n.window); }
+    double timeIn(const Node& n) {
+        return std::max(n.window.msPerUnit(), 1.0) * (1 + n.unitsOut + backlog_[n.shard]);
+    }
+    bool full(const Node& n) const { return !cold(n) && n.inflight >= std::floor(n.window.size()); }
     void dispatch() {
         std::vector<std::tuple<double, double, std::uint64_t, Held*>> ranked;  // worth first, then aim
         const auto rank = [&](Held& q) {
             const Node* n = q.goal >= 0 ? holder(q.goal) : nullptr;
             if (q.goal >= 0 && (!n || full(*n))) return;
-            double value = worth(q, now_ + kFinishPart * (n ? n->perUnit : 0) * q.request.units);
+            double value = worth(q, now_ + kFinishPart * (n ? n->window.msPerUnit() : 0) * q.request.units);
             if (n && std::count(n->recentKeys.begin(), n->recentKeys.end(), q.keyMark())) value *= kSeekGain;
             ranked.emplace_back(-value, q.aimAt, q.seq, &q);
         };
@@ -755,7 +668,7 @@
         Held* q = found == held_.end() ? nullptr : found->second;
         Node* n = q ? holder(q->goal) : nullptr;
         if (n && q->keeper == from && mayGoTo(*q, *n) && itsTurn(*q) && mayStart(*q) &&
-            n->inflight < kWindowMost) {
+            n->inflight < NodeWindow::kMost) {
             heardKeeper(*q);
             send(*q, *n);
             q->sent.back().lease = from;
@@ -822,8 +735,9 @@
         // Departure: a first attempt that may be repeated has far longer than its like take, not all the
         // time. Should cover answers that are lost on their way; wastes one attempt of a heavy request.
         if (q.kind->effect == Effect::Repeatable && q.sent.empty() && !trial && !cold(n) &&
-            n.samples >= kKnownFrom && set_.maxAttempts > 1 && extraAllowed())
-            expireAt = std::min(expireAt, now_ + std::max(kLostMs, kLostTimes * n.perUnit * q.request.units));
+            n.window.known() && set_.maxAttempts > 1 && extraAllowed())
+            expireAt = std::min(
+                expireAt, now_ + std::max(kLostMs, kLostTimes * n.window.msPerUnit() * q.request.units));
         if (q.owner < 0) {
             if (!q.drawn) draw(*q.volume, q.request.units);
             q.drawn = true;
@@ -874,11 +788,12 @@
                 n.suspect = false;
                 n.coldFrom = std::max(n.coldFrom, now_);
             }
-            learn(n, verdict.tookMs, q.request.units, std::max(1.0, q.kind->aimMs), s.at);
+            n.window.served({verdict.tookMs, q.request.units, std::max(1.0, q.kind->aimMs), s.at}, n.inflight,
+                            now_);
             if (cold(n)) n.coldDone.entries.push_back({now_, q.request.units});
-            if (q.owner < 0) rateOf(*q.volume), q.volume->served += q.request.units;
+            if (q.owner < 0) q.volume->dues.served(q.request.units, now_);
         } else if (was(Outcome::TurnedAway)) {
-            n.window = std::max(kWindowLeast, n.window / 2);
+            n.window.turnedAway();
             n.notBefore = std::max(n.notBefore, now_ + kRetryMs);
         } else if (was(Outcome::NoConnection, Outcome::ConnectionLost)) {
             // A machine that died drops all its connections and takes none; where answers come in between it
@@ -888,11 +803,8 @@
             if (n.suspect) n.notBefore = now_ + kSuspectRetryMs;
             else if (was(Outcome::NoConnection)) n.notBefore = std::max(n.notBefore, now_ + kRetryMs);
         }
-        if (verdict.usage > 0 && set_.meterMs > 0) {
-            const double rate = (verdict.usage - 1) / 100 * q.plan->nominal, was = q.volume->metered;
-            q.volume->metered = was < 0 ? rate : was + kMeterStep * (rate - was);
-            q.volume->meteredAt = now_;
-        }
+        if (verdict.usage > 0 && set_.meterMs > 0)
+            q.volume->dues.metered((verdict.usage - 1) / 100 * q.plan->nominal, now_);
         if (inDoubt && q.ordered()) {
             auto& k = keys_[q.request.key];
             k.restUntil = std::max(k.restUntil, now_ + set_.settleMs);
@@ -910,19 +822,13 @@
     }
     // After an attempt that failed: hold it again where its class and the rules allow, else answer.
     void again(Held& q, Outcome outcome) {
-        bool may = now_ + 2 * set_.tickMs < q.deadline && static_cast<int>(q.sent.size()) < set_.maxAttempts;
-        if (q.mayHaveRun && q.kind->effect == Effect::Once) may = false;
-        if (q.mayHaveRun && q.kind->effect == Effect::ByKey)
-            may = may && now_ + kPauseMs + kRetryMs < q.mayRunAt + q.kind->memorySpanMs;
-        if (!may) return answer(q, EndReason::AttemptsUsed);
+        if (!mayRepeat(q, set_, now_)) return answer(q, EndReason::AttemptsUsed);
         q.notBefore = now_ + (outcome == Outcome::TurnedAway ? kRetryMs : 0);
         q.keeper = -1;
         held_[q.seq] = &q;
     }
     void answer(Held& q, EndReason reason) {
-        const bool harmless = q.kind->effect == Effect::Repeatable || (!q.mayHaveRun && q.open == 0) ||
-                              (q.kind->effect == Effect::ByKey && q.kind->group == Group::All);
-        if (harmless) refuse(q.request.id, reason);
+        if (harmlessToRefuse(q)) refuse(q.request.id, reason);
         else out_.emplace_back(Fail{q.request.id, reason});
         q.ended = true;
         unhold(q);
@@ -971,19 +877,14 @@
     }
     template <class Unused>
     void on(const Unused&) {}  // wakes and probes' results
-    // Whether the nodes may have let go of a keyed request that may have run: it may not be repeated any
-    // more.
-    bool forgotten(const Held& q, double now) const {
-        return q.mayHaveRun && q.kind->effect == Effect::ByKey &&
-               now + kPauseMs >= q.mayRunAt + q.kind->memorySpanMs;
-    }
     // Held work is answered just before its client gives up, and sooner once its time to repeat is over.
     void expire() {
         std::vector<Held*> over;
         const double margin = 2 * set_.tickMs;
         for (auto& [seq, q] : held_) {
             const double until = q->sent.empty() ? giveUpAt(*q) + margin : q->deadline;
-            if (now_ + margin >= std::min(until, q->deadline) || forgotten(*q, now_)) over.push_back(q);
+            if (now_ + margin >= std::min(until, q->deadline) || forgottenByNodes(*q, now_))
+                over.push_back(q);
             else wake(std::min(until, q->deadline) - margin);
         }
         // An attempt whose outcome stays out past the client's time: the answer is owed all the same. Another
@@ -1038,32 +939,6 @@
             for (const auto& bytes : pack(r)) out_.emplace_back(TellPeers{rank, bytes});
         }
     }
-    // Hosts number subperiods by their own clocks, which a step of the wall clock between two starts sets
-    // apart. The first report of a host's start tells by how much. False: it is of a start before the present
-    // one.
-    bool meet(Peer& p, std::uint32_t incarnation, std::uint64_t toldSub) {
-        if (p.heard && p.incarnation == incarnation) return true;
-        if (p.heard && p.previous == incarnation) return false;
-        p.previous = p.heard ? p.incarnation : incarnation + 1;
-        p.incarnation = incarnation;
-        p.heard = true;
-        p.shift = shiftOf(toldSub);
-        return true;
-    }
-    std::int64_t shiftOf(std::uint64_t toldSub) const {
-        const double apart =
-            std::clamp(now_ / kSubMs - static_cast<double>(toldSub), -kMostApart, kMostApart);
-        return std::abs(apart) < kInStepSubs ? 0 : static_cast<std::int64_t>(std::floor(apart + 0.5));
-    }
-    // The own number of a subperiod that a peer named; one that lies ahead shows that the first report came
-    // late.
-    std::uint64_t ownSubperiod(Peer& p, std::uint64_t toldSub) {
-        const auto number = [&] {
-            return static_cast<std::uint64_t>(static_cast<std::int64_t>(toldSub) + p.shift);
-        };
-        if (number() > sub_ + 2 && p.shift - shiftOf(toldSub) <= kMostLateSubs) p.shift = shiftOf(toldSub);
-        return number();
-    }
     // Peer bytes are untrusted: all of a message is read and checked before any of it counts.
     void on(const PeerMessage& message) {
         if (message.from < 0 || message.from >= set_.hosts || message.from == set_.rank) return;
@@ -1076,8 +951,8 @@
         if (!report) return;
         const auto [incarnation, toldSub, figures] = *report;
         auto& p = peers_[message.from];
-        if (!meet(p, incarnation, toldSub)) return;
-        const auto sub = ownSubperiod(p, toldSub);
+        if (!p.clock.meet(incarnation, toldSub, now_)) return;
+        const auto sub = p.clock.own(toldSub, sub_, now_);
         if (sub > sub_ + 2) return;
         if (sub == sub_) {
             const double delay = std::clamp(now_ - boundaryAt_, set_.tickMs, kMostPeerWaitMs);
@@ -1111,9 +986,9 @@
     // those, who may draw all of it. Its share here is void; true: it was forgotten.
     bool movedAway(std::map<std::int64_t, Volume>::iterator at) {
         const auto& v = at->second;
-        const bool idle = v.users == 0 && now_ > v.usedAt + kIdleSubs * kSubMs;
+        const bool idle = v.users == 0 && now_ > v.usedAt + kIdleSubs * kSubperiodMs;
         if (!idle || usersOf_.count(at->first, now_) < static_cast<std::size_t>(v.hosts)) return false;
-        note(at->first, v, LimitNote::Moment::Forgotten);
+        note(v, LimitNote::Moment::Forgotten);
         volumes_.erase(at);
         return true;
     }
@@ -1127,7 +1002,7 @@
             for (auto p = v.peers.begin(); p != v.peers.end();)
                 p = now_ > p->second.heardAt + kForgetMs ? v.peers.erase(p) : std::next(p);
             const bool idle = v.users == 0 && v.peers.empty() && now_ > v.usedAt + std::max(kForgetMs, full);
-            if (idle) note(it->first, v, LimitNote::Moment::Forgotten);
+            if (idle) note(v, LimitNote::Moment::Forgotten);
             it = idle ? volumes_.erase(it) : std::next(it);
         }
         for (auto it = keys_.begin(); it != keys_.end();)
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -11,9 +11,12 @@
 #include <vector>
 
 #include "limit_parts.hpp"
+#include "node_window.hpp"
+#include "peer_clock.hpp"
 #include "peer_messages.hpp"
 #include "quota_client.hpp"
 #include "spokewheel/scheduler.hpp"
+#include "volume_dues.hpp"
 
 namespace spokewheel {
 
@@ -32,10 +35,10 @@
     std::string id, zone;
     int shard = -1;
     Lifecycle lifecycle = Lifecycle::Ready;
-    double coldFrom = -1e18, notBefore = 0, unansweredFrom = 1e18, lastSend = -1e18, narrowedAt = -1e18;
-    double window = 0, best = 0, perUnit = 0, ofAim = 0;
+    double coldFrom = -1e18, notBefore = 0, unansweredFrom = 1e18, lastSend = -1e18;
+    NodeWindow window;
     bool suspect = false;
-    int inflight = 0, samples = 0, dropped = 0;
+    int inflight = 0, dropped = 0;
     double unitsOut = 0, heat = 0, heatTold = 0, heatToldAt = -1e18;
     double lot = 1, lotUntil = -1e18;  // drawn for a cold node, and for how long it counts
     UnitLog coldSent, coldDone;
@@ -56,11 +59,6 @@
     return nullptr;
 }
 
-struct Second {
-    std::int64_t at;
-    double reserve, fair;
-};
-
 struct Volume {
     std::int64_t id = 0;
     const Plan* plan = nullptr;
@@ -75,10 +73,21 @@
     LimitShare share;
     QuotaClient quota;
     std::map<int, PeerView> peers;
-    std::deque<Second> seconds;
-    double reserveStore = 0, reserveAt = 0, beyondAt = -1e18, fairStore = 0, fairAt = 0;
-    double served = 0, servedAt = 0, metered = -1, meteredAt = -1e18;
+    VolumeDues dues;
     bool limited() const { return plan->limit > 0; }
+    LimitNote note(LimitNote::Moment moment) const {
+        LimitNote note;
+        note.moment = moment;
+        note.volume = id;
+        note.hosts = hosts;
+        note.own = share.level();
+        note.leased = share.leased();
+        note.reserved = share.reserved();
+        note.level = level;
+        note.credit = credit - r;
+        note.sent = total;
+        return note;
+    }
 };
 
 struct Sent {
@@ -117,10 +126,7 @@
 
 struct Peer {
     double deafUntil = -1e18;
-    // Its present start and the one before; and by how many subperiods its numbers differ from the own ones.
-    std::uint32_t incarnation = 0, previous = 0;
-    std::int64_t shift = 0;
-    bool heard = false;
+    PeerClock clock;
 };
 
 }  // namespace spokewheel
--- a/tests/module/limit_test.cpp
+++ b/tests/module/limit_test.cpp
@@ -395,6 +395,16 @@
     EXPECT_DOUBLE_EQ(share.level(), 15);
 }
 
+TEST(LimitShare, ALeaseEndsWithItsTime) {
+    LimitShare share;
+    share.begin({0, 0}, 1, kStart);
+    share.lease(5, kStart + 1000);
+    share.refill(kStart + 999);
+    EXPECT_EQ(share.available(), 5);
+    share.refill(kStart + 1000);
+    EXPECT_EQ(share.available(), 0);
+}
+
 // Units whose attempt has not begun are still in the bucket, which may be full: the share does not fill over
 // them.
 TEST(LimitShare, HoldsRoomForWhatHasNotBegun) {
