A started process sends nothing that its last life may have sent to a cold server

Only hosts that keep servers for all waited; smaller fleets did not.

Change: for the fall time after its start a process sends nothing to a cold server that was up before it started, or that is only suspected to be cold. One that came up later is no matter of the life before.

Cold.ANodeThatCameUpAfterTheStartIsSentTo guards against waiting where nothing can have been sent. Two older tests let their process start 2 s before the server comes up, which is what they are about.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -388,8 +388,8 @@
             // age; own completions add less than they were, for repeats and writes cost less than counted.
             const double age = n.suspect ? 0 : std::min(1.0, (now_ - n.coldFrom) / set_.coldMs);
             const double grown = 1 + age * (1 / std::max(set_.coldShare, 0.01) - 1);
-            // A keeper started just now may have sent before its start what still counts.
-            const bool unsure = shared_ && now_ < startedAt_ + set_.fallMs;
+            // The process before this one may have sent what still counts, if the node was up by then.
+            const bool unsure = now_ < startedAt_ + set_.fallMs && (n.suspect || n.coldFrom < startedAt_);
             if (unsure || n.inflight >= std::max(1.0, std::floor(age * n.window.size()))) return false;
             const double from = now_ - set_.fallMs, beyond = 1 - 1 / std::max(1.0, set_.tipMultiple);
             const double mine = grown * set_.coldUnits * part, sent = n.coldSent.since(from);
--- a/tests/module/policy_test.cpp
+++ b/tests/module/policy_test.cpp
@@ -207,6 +207,7 @@
     auto settings = plainSettings();
     settings.hosts = 3;
     Host host(settings);
+    host.step(kStart - 2000, {});
     host.step(kStart, {list({node("a", 0, Lifecycle::Ready, kStart - 100)})});
     // A third of 6 units, grown by a second's age, and a part of what it completed.
     EXPECT_LE(pressed(host, kStart, 1), 6);
@@ -215,8 +216,41 @@
     EXPECT_GT(pressed(warm, kStart, 1), 6);
 }
 
+// A cold node that turns all away: what it is sent within so many milliseconds.
+double sentToColdNode(Host& host, double from, double ms) {
+    host.step(from, {list({node("a", 0, Lifecycle::Ready, kStart - 100)})});
+    double units = 0;
+    std::size_t answered = host.sent.size();
+    for (double now = from; now < from + ms; now += 5) {
+        host.step(now, {request("c" + std::to_string(now), "once", 0, 1)});
+        for (; answered < host.sent.size(); ++answered) {
+            units += 1;
+            host.verdict(now + 1, host.sent[answered], Outcome::TurnedAway, true, 1);
+        }
+    }
+    return units;
+}
+
+TEST(Cold, ALifeThatForgotSendsNoSecondBudgetToAColdNode) {
+    Host before(plainSettings());
+    before.step(kStart - 2000, {});
+    const double first = sentToColdNode(before, kStart, 300);
+    EXPECT_GT(first, 4);
+    Host after(plainSettings());
+    const double second = sentToColdNode(after, kStart + 350, 600);
+    const double grownBudget = 6 * (1 + 4 * 1.05 / 16);
+    EXPECT_LE(first + second, grownBudget);
+}
+
+TEST(Cold, ANodeThatCameUpAfterTheStartIsSentTo) {
+    Host host(plainSettings());
+    host.step(kStart - 200, {});
+    EXPECT_GT(sentToColdNode(host, kStart, 300), 4);
+}
+
 TEST(Cold, ANodeThatDroppedConnectionsIsTakenForColdBeforeTheListSaysSo) {
     Host host(plainSettings());
+    host.step(kStart - 2000, {});
     host.step(kStart, {list({node("a", 0)}), request("r", "read", 0)});
     host.verdict(kStart + 5, host.sent.at(0), Outcome::ConnectionLost);
     ASSERT_EQ(host.sent.size(), 2u);
