A key rests after a start for what the last life left in doubt

Change: every key rests for the stated time from the start of the process.

Test: Order.AKeyRestsForWhatTheLifeBeforeLeftInDoubt failed before (sent at once, 50 ms after the start). Two older tests let their process start 2 s earlier.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -432,7 +432,7 @@
         auto& q = admit(request, *kind, *plan, kind->aimMs - (longest - request.ttlMs));
         q.volume = &v;
         held_[q.seq] = &q;
-        if (q.ordered()) keys_[request.key].turn.push_back(&q);
+        if (q.ordered()) queue(keys_[request.key], q);
         noteDue(v, request.units);
     }
     // A volume's first sight: what could have been drawn of it without this process's knowledge counts as
@@ -463,6 +463,12 @@
         }
         if (v.limited() && v.hosts == set_.hosts) v.peers[from].heardAt = now_;
     }
+    void queue(KeyTurn& key, Held& q) {
+        // The process before this one may have left an attempt in doubt.
+        key.restUntil = std::max(key.restUntil, startedAt_ + set_.settleMs);
+        if (key.restUntil > now_) wake(key.restUntil);
+        key.turn.push_back(&q);
+    }
     void unhold(Held& q) { (q.owner < 0 ? held_ : asks_[q.goal]).erase(q.seq); }
     Held& admit(const Request& request, const RequestClass& kind, const Plan& plan, double aimLeft) {
         pool_.emplace_back();
--- a/tests/module/policy_test.cpp
+++ b/tests/module/policy_test.cpp
@@ -334,6 +334,7 @@
         Host host(plainSettings());
         auto a = request("a", "ordered", 0), b = request("b", "ordered", 0);
         a.key = b.key = key;
+        host.step(kStart - 2000, {});
         host.step(kStart, {list({node("n", 0)}), a, b});
         EXPECT_EQ(host.sent.size(), key == -1 ? 2u : 1u) << key;
     }
@@ -345,6 +346,7 @@
          other = request("o", "ordered", 0);
     r1.key = r2.key = 9;
     other.key = 10;
+    host.step(kStart - 2000, {});
     host.step(kStart, {list({node("a", 0)}), r1, r2, other});
     ASSERT_EQ(host.sent.size(), 2u);
     EXPECT_EQ(host.tries.count("k2"), 0u);
@@ -360,6 +362,21 @@
     EXPECT_EQ(host.tries.count("k2"), 1u);
 }
 
+TEST(Order, AKeyRestsForWhatTheLifeBeforeLeftInDoubt) {
+    auto first = request("k1", "ordered", 0), second = request("k2", "ordered", 0);
+    first.key = second.key = 9;
+    Host before(plainSettings());
+    before.step(kStart - 2000, {});
+    before.step(kStart, {list({node("a", 0)}), first});
+    ASSERT_EQ(before.sent.size(), 1u);
+    Host after(plainSettings());  // the attempt of the one before is in doubt
+    after.step(kStart + 50, {list({node("a", 0)}), second});
+    after.runTo(kStart + 145);
+    EXPECT_TRUE(after.sent.empty());
+    after.runTo(kStart + 155);
+    EXPECT_EQ(after.sent.size(), 1u);
+}
+
 TEST(Budget, FurtherAttemptsStayWithinTheShareOfWhatWasTaken) {
     auto settings = plainSettings();
     settings.extraFloor = 3;
