A largest request fits the pool of a small limit

Found while reviewing the pools: where the burst is near a largest request, two thirds of what the hosts' own parts leave can be less than the request needs, and it would be refused for ever though the limit allows it.

Change: an own part leaves room for a largest request, and where the first of two pools would hold less than one, there is one pool.

Test: LimitParts.HoldTheWholeBucketAndALargestRequestWhereItFits failed before (0.67 against 2 at a burst of 2); it also holds the parts' sum to the bucket.

--- a/src/policy/limit_parts.hpp
+++ b/src/policy/limit_parts.hpp
@@ -20,7 +20,8 @@
 
 // Without messages to peers the hosts' own parts are all there is. With them the hosts keep a quarter of the
 // rate, which serves usual demand where peers can't be reached, and hold a largest request each where that
-// leaves half of the burst to the pools.
+// leaves half of the burst to the pools. Where two pools would hold less than a largest request each of its
+// own, there is one, so that such a request can be served.
 inline LimitParts partsOf(const Plan& plan, int hosts, double topUnits, bool pooled) {
     LimitParts parts;
     const double even = plan.limitBurst / hosts;
@@ -32,9 +33,14 @@
     constexpr double kOwnBurstS = 0.5;  // of its rate: what comes while a host waits for its next credit
     constexpr std::array<double, kPools> kPoolParts = {2.0 / 3, 1.0 / 3};
     const double ownRate = kOwnPart * plan.limit / hosts;
-    parts.own = {ownRate, std::min(even / 2, std::max(topUnits, ownRate * kOwnBurstS))};
+    const double spare = std::max(0.0, plan.limitBurst - topUnits);  // beside a largest request
+    parts.own = {ownRate, std::min({even / 2, std::max(topUnits, ownRate * kOwnBurstS), spare / hosts})};
     const double rate = (1 - kOwnPart) * plan.limit;
     const double burst = plan.limitBurst - hosts * parts.own.burst;
+    if (kPoolParts[0] * burst < topUnits) {
+        parts.pools[0] = {rate, burst};
+        return parts;
+    }
     for (std::size_t i = 0; i < kPools; ++i) parts.pools[i] = {kPoolParts[i] * rate, kPoolParts[i] * burst};
     return parts;
 }
--- a/tests/module/limit_test.cpp
+++ b/tests/module/limit_test.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "policy/limit_parts.hpp"
 #include "policy/peer_messages.hpp"
 #include "policy/quota_pool.hpp"
 #include "support.hpp"
@@ -336,6 +337,24 @@
     EXPECT_EQ(std::get<LimitNote>(*first).own, 0);
 }
 
+// Guards against requests that no part of the limit could ever serve.
+TEST(LimitParts, HoldTheWholeBucketAndALargestRequestWhereItFits) {
+    constexpr double kTop = 6;
+    for (const double burst : {2.0, 6.0, 7.0, 9.0, 12.0, 20.0, 36.0, 200.0})
+        for (const int hosts : {1, 2, 3, 4, 12, 160}) {
+            Plan plan;
+            plan.limit = 10;
+            plan.limitBurst = burst;
+            const auto parts = partsOf(plan, hosts, kTop, true);
+            double rate = hosts * parts.own.rate, held = hosts * parts.own.burst;
+            for (const auto& pool : parts.pools) rate += pool.rate, held += pool.burst;
+            EXPECT_NEAR(rate, plan.limit, 1e-9) << burst << " " << hosts;
+            EXPECT_NEAR(held, burst, 1e-9) << burst << " " << hosts;
+            EXPECT_GE(parts.own.burst, 0) << burst << " " << hosts;
+            EXPECT_GE(parts.pools[0].burst + 1e-9, std::min(burst, kTop)) << burst << " " << hosts;
+        }
+}
+
 TEST(QuotaPool, WhatIsLeasedIsNotThereTwice) {
     constexpr TokenBucket kPart{1000, 40};
     QuotaPool pool(kStart);
@@ -517,6 +536,32 @@
     EXPECT_EQ(host.sent.size(), 80u);
 }
 
+TEST(PeerMessages, AbsurdFiguresAreDropped) {
+    const auto settings = many(2, 0);
+    Report report;
+    report.figures = {{7, 1, 1, 3, 0}};
+    EXPECT_TRUE(readReport(pack(report).at(0)));
+    report.figures[0].total = 2e16;
+    EXPECT_FALSE(readReport(pack(report).at(0)));
+    QuotaMessage message;
+    message.asks = {{7, 1, 2, 0, 2, 1, 2}};
+    const auto limited = settings.plans.size();
+    for (std::size_t plan = 0; plan <= limited; ++plan) {
+        message.asks[0].plan = plan;
+        const bool known = plan < limited && settings.plans[plan].limit > 0;
+        EXPECT_EQ(readQuota(pack(message).at(0), settings).has_value(), known) << plan;
+    }
+    for (std::size_t plan = 0; plan < limited; ++plan) {
+        if (settings.plans[plan].limit <= 0) continue;
+        for (const QuotaAsk& absurd :
+             {QuotaAsk{7, 1, plan, kPools, 2, 1, 2}, QuotaAsk{7, 1, plan, 0, 0, 1, 2},
+              QuotaAsk{7, 1, plan, 0, 2, 1e6, 1e6}, QuotaAsk{7, 1, plan, 0, 2, 2, 1}}) {
+            message.asks[0] = absurd;
+            EXPECT_FALSE(readQuota(pack(message).at(0), settings));
+        }
+    }
+}
+
 TEST(PeerMessages, StayInTheirSizeAndGarbledOnesAreDropped) {
     Host a(many(2, 0), 1), b(many(2, 1), 2), twin(many(2, 1), 2);
     a.step(kStart, {list(fleet())});
@@ -552,6 +597,8 @@
         twin.runTo(kStart + t);
     }
     EXPECT_EQ(b.sentAt, twin.sentAt);
+    EXPECT_GE(b.unreadableMessages(), 2 * a.told.size());
+    EXPECT_EQ(twin.unreadableMessages(), 0u);
     for (int i = 0; i < 3000; ++i) {  // noise of any kind does no harm
         std::string noise(random() % 64, '\0');
         for (auto& c : noise) c = static_cast<char>(random());
