Settings of limits and peers' figures out of range are named or dropped and counted

A slack below zero or beyond what a double holds exactly was taken as it stood, and a fault in a plan was told as 'plans' alone, without the file. A total in a peer's report had no bound.

Totals over 2^53 make a report unreadable; messages that no reader takes are counted and told in pulse_work as peers_unreadable.

--- a/include/spokewheel/scheduler.hpp
+++ b/include/spokewheel/scheduler.hpp
@@ -188,6 +188,8 @@
     bool mayBegin(double nowMs, const std::string& id, int attempt) const;
     // Of each volume with a limit that is known, as of the last step.
     std::vector<LimitNote> limitNotes() const;
+    // Messages of peers that were dropped, for they could not be read or a figure was out of range.
+    std::uint64_t unreadableMessages() const;
 
   private:
     class Impl;
--- a/src/host/host.hpp
+++ b/src/host/host.hpp
@@ -89,6 +89,7 @@
     invariants::Monitor& monitor() { return monitor_; }
     int shardOf(const std::string& node) const;
     std::vector<LimitNote> limitNotes() const { return scheduler_.limitNotes(); }
+    std::uint64_t unreadablePeerMessages() const { return scheduler_.unreadableMessages(); }
 
   private:
     struct Request {
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -1,6 +1,7 @@
 #include "platform/platform_daemon.hpp"
 
 #include <limits>
+#include <stdexcept>
 #include <utility>
 
 #include "platform/decide_budget.hpp"
@@ -18,6 +19,18 @@
 
 constexpr double kPulseMs = 10000;
 
+// Throws std::runtime_error that names the file and the setting where they contradict each other.
+std::unique_ptr<host::Host> raiseHost(const std::string& file, const Configuration& configuration,
+                                      host::Host::Edges edges) {
+    // Requests wait in the module alone: how many there can be is bounded by the connections.
+    constexpr auto kAll = std::numeric_limits<std::size_t>::max();
+    try {
+        return std::make_unique<host::Host>(configuration.module, configuration.seed, kAll, std::move(edges));
+    } catch (const std::invalid_argument& fault) {
+        throw std::runtime_error(file + ": settings: " + fault.what());
+    }
+}
+
 }  // namespace
 
 PlatformDaemon::PlatformDaemon(std::string file, Environment environment, io::Loop& loop)
@@ -47,9 +60,7 @@
                        io::nowMs());
         };
     edges.noteLimit = [this](const LimitNote& note) { logLimit(log_, note); };
-    // Requests wait in the module alone: how many there can be is bounded by the connections.
-    host_ = std::make_unique<host::Host>(c.module, c.seed, std::numeric_limits<std::size_t>::max(),
-                                         std::move(edges));
+    host_ = raiseHost(file_, c, std::move(edges));
     raisePeers();
     host_->monitor().reportTo(
         [this](invariants::Violation violation, const std::string& request, const std::string& detail) {
--- a/src/platform/report.cpp
+++ b/src/platform/report.cpp
@@ -84,7 +84,8 @@
                {"node_links", text(sources.nodes.connections())},
                {"node_dials", text(sources.nodes.dials())},
                {"peers_received", sources.peers ? text(sources.peers->counts().received) : ""},
-               {"peers_unknown", sources.peers ? text(sources.peers->counts().unknown) : ""}},
+               {"peers_unknown", sources.peers ? text(sources.peers->counts().unknown) : ""},
+               {"peers_unreadable", text(sources.host.unreadablePeerMessages())}},
               now);
 }
 
--- a/src/policy/peer_messages.cpp
+++ b/src/policy/peer_messages.cpp
@@ -13,7 +13,8 @@
 constexpr double kStepMs = 8, kAgeStepMs = 100, kParts = 15, kTenths = 10;  // units of the coding
 constexpr unsigned char kQuotaAsk = 1, kQuotaAnswer = 2;
 constexpr int kMostHosts = 100000;
-constexpr std::uint64_t kLargest = 10000000;  // of any figure but a volume's number
+constexpr std::uint64_t kLargest = 10000000;  // of any figure but a volume's number and a total
+constexpr std::uint64_t kMostTotal = std::uint64_t{1} << 53;
 
 class Writer {
   public:
@@ -181,7 +182,9 @@
         f.volume = static_cast<std::int64_t>(in.whole());
         f.r = in.number();
         f.held = in.number();
-        f.total = static_cast<double>(in.whole());
+        const auto total = in.whole();
+        if (total > kMostTotal) return std::nullopt;
+        f.total = static_cast<double>(total);
         f.gift = in.number() / kTenths;
         report.figures.push_back(f);
     }
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -87,6 +87,7 @@
                !forgottenByNodes(q, now);
     }
 
+    std::uint64_t unreadableMessages() const { return unreadable_; }
     std::vector<LimitNote> limitNotes() const {
         std::vector<LimitNote> notes;
         for (const auto& [id, v] : volumes_)
@@ -948,12 +949,15 @@
     // Peer bytes are untrusted: all of a message is read and checked before any of it counts.
     void on(const PeerMessage& message) {
         if (message.from < 0 || message.from >= set_.hosts || message.from == set_.rank) return;
-        if (const auto notes = shared_ ? readNotes(message.bytes, set_) : std::nullopt)
-            onNotes(message.from, *notes);
-        if (const auto quota = readQuota(message.bytes, set_)) onQuota(message.from, *quota);
-        if (const auto words = readIntroductions(message.bytes, set_))
-            for (const auto& word : *words) join(message.from, word);
+        const auto notes = readNotes(message.bytes, set_);
+        const auto quota = readQuota(message.bytes, set_);
+        const auto words = readIntroductions(message.bytes, set_);
         const auto report = readReport(message.bytes);
+        unreadable_ += !notes && !quota && !words && !report;
+        if (notes && shared_) onNotes(message.from, *notes);
+        if (quota) onQuota(message.from, *quota);
+        if (words)
+            for (const auto& word : *words) join(message.from, word);
         if (!report) return;
         const auto [incarnation, toldSub, figures] = *report;
         auto& p = peers_[message.from];
@@ -1034,7 +1038,7 @@
     bool due_ = false, shared_ = false, quotaWanted_ = false;
     double askAt_ = 1e18, askWait_ = kAskWaitMs, boundaryAt_ = 0, peerDelay_ = kFirstPeerWaitMs / 2;
     double fairPerWeight_ = 0, beyond_ = 0, fairLearnedAt_ = 0;
-    std::uint64_t sub_ = 0, seq_ = 0;
+    std::uint64_t sub_ = 0, seq_ = 0, unreadable_ = 0;
     std::uint32_t incarnation_ = 0;
     std::map<int, Node*> holders_;
     std::map<int, std::vector<Note>> notes_;
@@ -1069,5 +1073,6 @@
     return impl_->mayBegin(nowMs, id, attempt);
 }
 std::vector<LimitNote> Scheduler::limitNotes() const { return impl_->limitNotes(); }
+std::uint64_t Scheduler::unreadableMessages() const { return impl_->unreadableMessages(); }
 
 }  // namespace spokewheel
--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -1,6 +1,10 @@
 // The platform's protocol through sockets: clients in, disk servers out, discovery, stop.
 #include <unistd.h>
 
+#include <filesystem>
+#include <fstream>
+#include <map>
+
 #include "platform/decide_stop.hpp"
 #include "platform_support.hpp"
 
@@ -351,6 +355,32 @@
     EXPECT_TRUE(even.trusted(400));
 }
 
+TEST(Configuration, ASettingOutOfRangeKeepsTheProcessFromStartingAndIsNamed) {
+    const auto path = ::testing::TempDir() + "limits-" + std::to_string(getpid()) + ".json";
+    const auto fault = [&path](const std::string& plan) -> std::string {
+        std::ofstream(path)
+            << R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"contracts":[)" << plan
+            << "]}}";
+        io::Loop loop;
+        try {
+            PlatformDaemon daemon(path, {}, loop);
+        } catch (const std::runtime_error& e) {
+            return e.what();
+        }
+        return "";
+    };
+    for (const auto& [plan, key] : std::map<std::string, std::string>{
+             {R"({"name":"a","limit":10,"limit-burst":20,"slack":-1})", "'contracts.0.slack'"},
+             {R"({"name":"a","limit":10})", "'contracts.0.limit-burst'"},
+             {R"({"name":"a","limit":1e17,"limit-burst":20})", "'contracts.0.limit'"},
+             {R"({"name":"a","limit":"ten"})", "'settings.contracts.0.limit'"}}) {
+        const auto words = fault(plan);
+        EXPECT_NE(words.find(path), std::string::npos) << plan << ": " << words;
+        EXPECT_NE(words.find(key), std::string::npos) << plan << ": " << words;
+    }
+    std::filesystem::remove(path);
+}
+
 TEST(Configuration, FaultsNameFileAndKey) {
     const auto fault = [](const std::string& text) -> std::string {
         try {
--- a/tests/module/policy_test.cpp
+++ b/tests/module/policy_test.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "support.hpp"
 
 namespace spokewheel::testing {
@@ -537,6 +539,16 @@
     EXPECT_NE(complaint([](Settings& s) { s.extraShare = 1.5; }).find("extraShare"), std::string::npos);
     EXPECT_NE(complaint([](Settings& s) { s.plans[1].limit = -1; }).find("plans"), std::string::npos);
     EXPECT_NE(complaint([](Settings& s) { s.rank = 4; }).find("hosts"), std::string::npos);
+    const auto names = [&complaint](const char* key, void (*spoil)(Settings&)) {
+        EXPECT_NE(complaint(spoil).find(std::string("'contracts.1.") + key + "'"), std::string::npos) << key;
+    };
+    names("limit", [](Settings& s) { s.plans[1].limit = std::nan(""); });
+    names("limit", [](Settings& s) { s.plans[1].limit = 1e16; });
+    names("limit-burst", [](Settings& s) { s.plans[1].limitBurst = -3; });
+    names("limit-burst", [](Settings& s) { s.plans[1].limit = 5, s.plans[1].limitBurst = 0; });
+    names("slack", [](Settings& s) { s.plans[1].slack = -1; });
+    names("slack", [](Settings& s) { s.plans[1].slack = HUGE_VAL; });
+    names("reservation", [](Settings& s) { s.plans[1].reservation = -1; });
     EXPECT_EQ(complaint([](Settings&) {}), "");
 }
 
--- a/tests/module/support.hpp
+++ b/tests/module/support.hpp
@@ -134,6 +134,8 @@
         return scheduler_.mayBegin(now, id, attempt);
     }
 
+    std::uint64_t unreadableMessages() const { return scheduler_.unreadableMessages(); }
+
     std::vector<Attempt> sent;
     std::vector<double> sentAt, asked;
     std::map<std::string, int> tries;
