--- a/tests/gateway/soak_scenario_test.cpp
+++ b/tests/gateway/soak_scenario_test.cpp
@@ -401,8 +401,9 @@
   protected:
     void connect() {
         const auto link = reactor.dial(process->port());
+        const std::weak_ptr<Link> weak = link;  // its callbacks may not keep it
         auto answered = std::make_shared<bool>(false);
-        link->onConnected = [this, link] {
+        link->onConnected = [this, weak] {
             RequestText text;
             text.method = "GET";
             text.requestClass = options.setting.classes.front().name;
@@ -411,13 +412,13 @@
             text.key = "0000000000000007";
             text.timeoutMs = options.setting.classes.front().deadlineMs;
             text.volume = "00000000000000aa";
-            link->write(textOf(text));
+            if (const auto open = weak.lock()) open->write(textOf(text));
             ++asked;
         };
-        link->onData = [this, link, answered](std::string_view) {
+        link->onData = [this, weak, answered](std::string_view) {
             if (std::exchange(*answered, true)) return;
             ++got;
-            link->close();
+            if (const auto open = weak.lock()) open->close();
             connect();
         };
         link->onEnd = [this, answered](Link::End) {
