--- a/kit/soak/clients.cpp
+++ b/kit/soak/clients.cpp
@@ -5,14 +5,13 @@
 #include <cstdio>
 #include <utility>
 
+#include "kit/soak/request.hpp"
+
 namespace spokewheel::soak {
 namespace {
 
 constexpr std::size_t kMostConnections = 24;
-constexpr double kReadSnapshotMs = 750;  // after which no byte of a connection that ended is read any more
 constexpr double kConnectMs = 1500;
-constexpr double kNewWhileStoppingMs = 400;  // after SIGTERM new connections keep coming for so long
-int nextRequest = 0, nextConnection = 0;
 
 }  // namespace
 
@@ -81,10 +80,9 @@
         if ((draw -= one.share) < 0) break;
     }
     Asked asked;
-    char id[32], key[20];
-    std::snprintf(id, sizeof id, "%016x", ++nextRequest);
+    char key[20];
     std::snprintf(key, sizeof key, "%016x", 1 + drawBelow(random_, 40));
-    asked.id = id;
+    asked.id = newRequestId();
     asked.requestClass = plan->name;
     const int little = drawBelow(random_, 50);  // some come with very little time
     asked.timeoutMs = options_.troubles && little == 0
@@ -94,19 +92,20 @@
     const int cell = drawBelow(random_, options_.servers);
     asked.cell = cell;
     asked.limited = limited;
-    const std::string body =
-        plan->method == "PUT" ? std::string(static_cast<std::size_t>(drawBelow(random_, 6000)), 'b') : "";
-    asked.text =
-        plan->method + " /" + plan->name +
-        "/object HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: " + id +
-        "\r\nX-Priority-Class: " + plan->name + "\r\nX-Plan: " + (limited ? "limited" : "open") +
-        "\r\nCookie: block=" + key +
-        "\r\nX-Timeout-Ms: " + std::to_string(static_cast<int>(asked.timeoutMs)) +
-        "\r\nX-IO: volume=00000000000000" + (limited ? "f" : "0") +
-        std::to_string(1 + drawBelow(random_, 2)) + ",units=" + std::to_string(1 + drawBelow(random_, 3)) +
-        ",shard=" + std::to_string(cell) + ",hosts=" + std::to_string(options_.schedulers) + "\r\n" +
-        (plan->method == "PUT" ? "Content-Length: " + std::to_string(body.size()) + "\r\n" : std::string()) +
-        "\r\n" + body;
+    RequestText text;
+    text.method = plan->method;
+    if (plan->method == "PUT") text.body.assign(static_cast<std::size_t>(drawBelow(random_, 6000)), 'b');
+    text.requestClass = plan->name;
+    text.id = asked.id;
+    text.plan = limited ? "limited" : "open";
+    text.key = key;
+    text.timeoutMs = asked.timeoutMs;
+    text.volume =
+        std::string("00000000000000") + (limited ? "f" : "0") + std::to_string(1 + drawBelow(random_, 2));
+    text.units = 1 + drawBelow(random_, 3);
+    text.cell = cell;
+    text.hosts = options_.schedulers;
+    asked.text = textOf(text);
     return asked;
 }
 
@@ -125,7 +124,7 @@
 
 Clients::ConnectionPtr Clients::dial() {
     auto c = std::make_shared<Connection>();
-    c->number = ++nextConnection;
+    c->number = newConnectionNumber();
     c->life = process_.life();
     c->link = reactor_.dial(process_.port());
     c->port = c->link->localPort();
--- a/kit/soak/disk_server.cpp
+++ b/kit/soak/disk_server.cpp
@@ -206,7 +206,7 @@
                 a.beganAt = s->firstByteAt;
                 a.request = fieldOf(head, "X-Request-ID");
                 a.requestClass = fieldOf(head, "X-Priority-Class");
-                a.limited = fieldOf(head, "X-Plan") == "limited";
+                a.limited = fieldOf(head, "X-Plan") != "open";
                 a.volume = valueIn(fieldOf(head, "X-IO"), "volume");
                 a.units = std::atof(valueIn(fieldOf(head, "X-IO"), "units").c_str());
                 a.key = valueIn(fieldOf(head, "Cookie"), "block");
--- a/kit/soak/events.hpp
+++ b/kit/soak/events.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -41,10 +42,10 @@
     int scheduler = -1;
     int process = 0;  // counts the scheduler's starts
     std::string server, request;
-    std::string requestClass, volume, key, zone;
-    int connection = 0;  // of the client, or of the scheduler at the server
-    int attempt = 0;     // identifies an attempt at the servers
-    int status = 0;      // of an answer, or of a process that exited
+    std::string requestClass, volume, key, zone;  // volume: where it has a limit
+    int connection = 0;                           // of the client, or of the scheduler at the server
+    int attempt = 0;                              // identifies an attempt at the servers
+    int status = 0;                               // of an answer, or of a process that exited
     double units = 0;
     double timeoutMs = 0;  // what the client allows, or what the attempt told its server
     int cell = -1;         // in which a request's data lies
@@ -62,12 +63,18 @@
     double memoryMs = 0;
 };
 
+// Of one volume: units per second, units, units.
+struct LimitTerms {
+    double rate = 0, burst = 0, slack = 0;
+};
+
 // The terms that the record is held to; figures as in the settings given to the schedulers.
 struct Terms {
     std::vector<ClassTerms> classes;
     double answerGraceMs = 500, clientGoneMs = 100, timeoutSlackMs = 150, drainGraceMs = 2000;
     double malformedMs = 3000, readyMs = 10000;
-    double limit = 0, burst = 0, slack = 0;  // of each limited volume
+    double limit = 0, burst = 0, slack = 0;     // of each limited volume that `volumes` does not name
+    std::map<std::string, LimitTerms> volumes;  // asked for without pause
     double coldMs = 0, coldUnits = 0, coldShare = 1, tipMultiple = 1, fallMs = 0, meanUnits = 1,
            serverUnitsPerS = 0;
     double settleMs = 0, extraFloor = 0, extraShare = 0, extraSpanMs = 0;
--- a/kit/soak/scheduler_process.cpp
+++ b/kit/soak/scheduler_process.cpp
@@ -20,7 +20,6 @@
 namespace {
 
 constexpr double kReapMs = 20, kReadyMs = 30;
-constexpr int kSmallPipe = 4096;
 
 std::string addressText(int port) { return "127.0.0.1:" + std::to_string(port); }
 
@@ -89,7 +88,7 @@
 void SchedulerProcess::start() {
     int ends[2];
     if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe for the log");
-    fcntl(ends[1], F_SETPIPE_SZ, kSmallPipe);
+    fcntl(ends[1], F_SETPIPE_SZ, options_.logPipeBytes);
     fcntl(ends[0], F_SETFL, O_NONBLOCK);
     ++life_;
     startedAt_ = reactor_.now();
--- a/kit/soak/setting.cpp
+++ b/kit/soak/setting.cpp
@@ -82,6 +82,7 @@
     terms.settleMs = setting.settleMs;
     terms.extraFloor = setting.extraFloor, terms.extraShare = setting.extraShare;
     terms.extraSpanMs = setting.extraSpanMs;
+    for (const auto& volume : setting.busyVolumes) terms.volumes[volume.id] = volume.limit;
     return terms;
 }
 
@@ -100,12 +101,18 @@
     }
     out << R"(],"contracts":[{"name":"open","limit":0.0,"nominal":100.0,"reservation":50.0,"shares":1.0},)"
         << R"({"name":"limited","limit":)" << s.limit << R"(,"limit-burst":)" << s.limitBurst
-        << R"(,"slack":)" << s.limitSlack << R"(,"nominal":20.0,"reservation":10.0,"shares":1.0}],)"
+        << R"(,"slack":)" << s.limitSlack << R"(,"nominal":20.0,"reservation":10.0,"shares":1.0})";
+    for (const auto& volume : s.busyVolumes)
+        out << R"(,{"name":")" << volume.planName() << R"(","limit":)" << volume.limit.rate
+            << R"(,"limit-burst":)" << volume.limit.burst << R"(,"slack":)" << volume.limit.slack
+            << R"(,"nominal":)" << volume.limit.rate << R"(,"reservation":)" << volume.reservation
+            << R"(,"shares":1.0})";
+    out << "],"
         << R"("ceilings":{"send-cap":3,"dial-timeout-ms":)" << s.dialTimeoutMs << R"(,"conn-idle-ms":)"
         << s.connIdleMs << R"(,"retry-after":true,"max-retry-after-ms":1000.0,"peers":)"
         << (s.peers ? "true" : "false") << R"(},"domain":{"class-writes":[)" << writes.str()
-        << R"(],"mean-units":)" << s.meanUnits << R"(,"units-top":4,"use-period-ms":1000.0,"cold-units":)"
-        << s.coldUnits << "},"
+        << R"(],"mean-units":)" << s.meanUnits << R"(,"units-top":)" << s.topUnits
+        << R"(,"use-period-ms":1000.0,"cold-units":)" << s.coldUnits << "},"
         << R"("rules":{"grace-to-answer-ms":8.0,"drain-grace-ms":)" << s.drainGraceMs << R"(,"cold-ms":)"
         << s.coldMs << R"(,"cold-share":)" << s.coldShare << R"(,"tip-multiple":)" << s.tipMultiple
         << R"(,"fall-ms":)" << s.fallMs << R"(,"settle-after-doubt-ms":)" << s.settleMs
--- a/kit/soak/setting.hpp
+++ b/kit/soak/setting.hpp
@@ -20,6 +20,20 @@
     ClassTerms terms;
 };
 
+// A volume with a plan of its own whose clients ask without pause (steady_clients.hpp).
+struct BusyVolume {
+    std::string id;  // 16 hex digits
+    LimitTerms limit;
+    double reservation = 0;                   // units per second
+    int hosts = 1;                            // schedulers that its requests come through, as each tells
+    std::vector<int> schedulers = {0};        // through which they come at first
+    int clients = 6;                          // at each of them, one request at a time each
+    double pauseMs = 0, refusedPauseMs = 20;  // between an answer and the next request
+    int mostUnits = 1;                        // of a request
+
+    std::string planName() const { return "plan-" + id; }
+};
+
 // One customer's settings. Milliseconds and units.
 struct Setting {
     std::vector<ClassPlan> classes = {{"read", "GET", 900, 0.5, {"read", false, false, false, 0}},
@@ -32,7 +46,9 @@
     double coldMs = 4000, coldShare = 0.05, coldUnits = 9, tipMultiple = 1.5, fallMs = 1000;
     double meanUnits = 2, drainGraceMs = 2000, settleMs = 120;
     double extraFloor = 4, extraShare = 0.2, extraSpanMs = 3000;
-    double limit = 30, limitBurst = 45, limitSlack = 4;
+    double limit = 30, limitBurst = 45, limitSlack = 4;  // of the plan of volumes f1 and f2
+    int topUnits = 4;                                    // of any request
+    std::vector<BusyVolume> busyVolumes;
     double dialTimeoutMs = 250, connIdleMs = 6000;
 
     double longestDeadlineMs() const;
@@ -48,9 +64,10 @@
 Setting drawSetting(std::uint64_t seed);
 
 struct Options {
-    std::string scheduler;  // the daemon's file
-    std::string shim;       // the fault shim's file; empty: none is loaded
-    std::string folder;     // for configurations, control files and logs
+    std::string scheduler;    // the daemon's file
+    std::string shim;         // the fault shim's file; empty: none is loaded
+    std::string folder;       // for configurations, control files and logs
+    int logPipeBytes = 4096;  // of a process's log that is not read yet; small, so that it is full at times
     double seconds = 20;
     std::uint64_t seed = 1;
     int schedulers = 24, servers = 8;
--- a/kit/soak/world.cpp
+++ b/kit/soak/world.cpp
@@ -42,7 +42,10 @@
     while (reactor.now() < latest && !allReady()) reactor.runUntil(reactor.now() + 20);
     beganAt = reactor.now();
     sample();
-    for (const auto& one : clients) one->start();
+    if (options.requestsPerSecond > 0)
+        for (const auto& one : clients) one->start();
+    const auto& volumes = options.setting.busyVolumes;
+    for (std::size_t i = 0; i < volumes.size(); ++i) moveVolume(i, volumes[i].schedulers, volumes[i].hosts);
     if (options.churnPerSecond > 0 && options.extraMembers > 0) churn();
 }
 
@@ -50,6 +53,7 @@
     for (const auto& process : processes) process->stop();
     reactor.runUntil(reactor.now() + options.setting.killAfterMs());
     for (const auto& one : clients) one->stop();
+    for (const auto& [at, one] : steady_) one->stop();
     reactor.runUntil(reactor.now() + options.setting.longestDeadlineMs() + kAfterKillMs);
 }
 
@@ -87,6 +91,21 @@
     until = std::max(until, reactor.now() + lastsMs);
 }
 
+void World::moveVolume(std::size_t volume, const std::vector<int>& to, int hosts) {
+    const auto& plan = options.setting.busyVolumes[volume];
+    for (const auto& [at, one] : steady_)
+        if (at.first == volume && std::find(to.begin(), to.end(), at.second) == to.end()) one->stop();
+    for (const int scheduler : to) {
+        auto& one = steady_[{volume, scheduler}];
+        if (!one)
+            one = std::make_unique<SteadyClients>(reactor, random, record_,
+                                                  *processes[static_cast<std::size_t>(scheduler)], scheduler,
+                                                  options, plan);
+        one->setHosts(hosts);
+        one->start();
+    }
+}
+
 bool World::allReady() const {
     return std::all_of(processes.begin(), processes.end(), [](const auto& p) { return p->ready(); });
 }
--- a/kit/soak/world.hpp
+++ b/kit/soak/world.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "kit/soak/agent.hpp"
@@ -15,6 +16,7 @@
 #include "kit/soak/reactor.hpp"
 #include "kit/soak/scheduler_process.hpp"
 #include "kit/soak/setting.hpp"
+#include "kit/soak/steady_clients.hpp"
 
 namespace spokewheel::soak {
 
@@ -48,6 +50,8 @@
     void markTroubled(std::size_t scheduler, double lastsMs);
     double wallMs() const;  // as the schedulers see it
     void script(const std::string& words);
+    // The requests of a busy volume come through these schedulers from now on, and tell so many.
+    void moveVolume(std::size_t volume, const std::vector<int>& schedulers, int hosts);
     // What the processes have used so far.
     void measure();
 
@@ -75,6 +79,7 @@
     Record record_;
     std::map<int, bool> wellCells_, wellSchedulers_;
     std::map<std::size_t, double> troubledUntil_;
+    std::map<std::pair<std::size_t, int>, std::unique_ptr<SteadyClients>> steady_;  // volume, scheduler
     int churned_ = 0;
 };
 
