--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -100,6 +100,7 @@
 void Server::sweep() {
     const double now = io::nowMs();
     listener_->observeQueue();
+    if (!listening_) listener_->finish();
     const auto room = this->room();
     std::vector<std::pair<SessionPtr, Decision>> over;
     for (const auto& [number, s] : sessions_)
@@ -123,6 +124,11 @@
     drained_ = std::move(done);
 }
 
+void Server::stopListening() {
+    listening_ = false;
+    listener_->finish();
+}
+
 void Server::onData(const SessionPtr& s, std::string_view bytes) {
     switch (s->state.phase) {
         case Phase::Open:
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -49,6 +49,8 @@
     // From now on answers end their connections, but for those behind which more has come, and what rests is
     // ended. `done` comes from the loop once no connection is left and none waits to be taken.
     void drain(std::function<void()> done);
+    // Takes who waits to be taken, and from then on refuses new connections.
+    void stopListening();
     const Counts& counts() const { return counts_; }
     std::size_t connections() const { return sessions_.size(); }
     int port() const { return listener_->port(); }
@@ -86,7 +88,7 @@
     std::uint64_t nextSession_ = 0;
     std::unordered_map<std::uint64_t, SessionPtr> sessions_;
     std::unordered_set<std::string> openIds_;
-    bool ready_ = false, accepting_ = true, draining_ = false;
+    bool ready_ = false, accepting_ = true, draining_ = false, listening_ = true;
     std::function<void()> drained_;
     Note note_;
     Counts counts_;
--- a/src/io/connection.cpp
+++ b/src/io/connection.cpp
@@ -347,6 +347,11 @@
     watch();
 }
 bool Listener::pending() const { return socket_ && g_socket_condition_check(socket_, G_IO_IN) != 0; }
+void Listener::finish() {
+    while (source_ && pending())
+        if (!onReady()) return;
+    if (!pending()) stop();
+}
 Listener::~Listener() { stop(); }
 void Listener::stop() {
     again_.cancel();
--- a/src/io/connection.hpp
+++ b/src/io/connection.hpp
@@ -118,6 +118,8 @@
     void pause();
     void resume();
     bool pending() const;  // somebody waits to be taken
+    // Takes who waits, then stops. Who can't be taken now keeps waiting: to be called again then.
+    void finish();
     // To be called now and then while paused: who finds the queue empty knows that nobody has waited so far.
     void observeQueue();
 
--- a/src/platform/decide_stop.hpp
+++ b/src/platform/decide_stop.hpp
@@ -16,6 +16,8 @@
     double closeFromMs =
         0;  // answers end their connections, idle ones are closed; the program ends once none is open
     double answerByMs = 0;  // what comes after the SIGTERM has its answer by here, whatever its client allows
+    // Clients that can't connect go elsewhere; ones that find a process that ends come back again and again.
+    double listenUntilMs = 0;
 };
 
 inline StopPlan stopPlan(const std::vector<RequestClass>& classes) {
@@ -23,6 +25,7 @@
     constexpr double kServedMs = 700;   // kept connections are served so long, where the kill allows it
     constexpr double kReserveMs = 400;  // between the last answer and the kill: a busy core may be late
     constexpr double kLastMs = 250;     // what a request that comes last is left with
+    constexpr double kNewMs = 450;      // new connections are expected so long
     double longest = 0;
     for (const auto& c : classes) longest = std::max(longest, c.deadlineMs);
     const double killMs = std::min(longest, kMostDeadlineMs) + kKillMs;
@@ -32,6 +35,7 @@
     plan.answerByMs = killMs - kReserveMs;
     plan.closeFromMs =
         std::clamp(plan.answerByMs - kLastMs, std::min(kServedMs, plan.answerByMs), plan.answerByMs);
+    plan.listenUntilMs = std::max(plan.closeFromMs, kNewMs);
     return plan;
 }
 
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -180,12 +180,16 @@
 }
 
 void PlatformDaemon::stop() {
-    if (std::exchange(stopping_, true)) return drain();
+    if (std::exchange(stopping_, true)) {
+        server_->stopListening();
+        return drain();
+    }
     log_.event(Level::Info, "stopping", {{"open", std::to_string(host_->open())}}, io::nowMs());
     const auto plan = stopPlan(configuration_.module.classes);
     server_->unready();
     host_->answerBy(io::nowMs() + plan.answerByMs);
     stopTimer_.arm(plan.closeFromMs, [this] { drain(); });
+    listenTimer_.arm(plan.listenUntilMs, [this] { server_->stopListening(); });
 }
 
 void PlatformDaemon::drain() {
--- a/src/platform/platform_daemon.hpp
+++ b/src/platform/platform_daemon.hpp
@@ -53,7 +53,7 @@
     std::unique_ptr<peers::PlainLink> peers_;
     std::unique_ptr<StartList> startList_;
     std::unique_ptr<registry::WatchHttp> watch_;
-    io::Timer startTimer_, pulseTimer_, stopTimer_, reloadTimer_;
+    io::Timer startTimer_, pulseTimer_, stopTimer_, listenTimer_, reloadTimer_;
     double reloadUntil_ = 0;  // while a configuration that could not be read is read again
     std::unique_ptr<fronts::http::Server> server_;
     bool begun_ = false, recalled_ = false, stopping_ = false;
--- a/tests/gateway/soak_scenario_test.cpp
+++ b/tests/gateway/soak_scenario_test.cpp
@@ -19,6 +19,7 @@
 #include "kit/soak/disk_server.hpp"
 #include "kit/soak/judge.hpp"
 #include "kit/soak/port_source.hpp"
+#include "kit/soak/request.hpp"
 #include "kit/soak/scheduler_process.hpp"
 
 namespace spokewheel::soak {
@@ -394,6 +395,56 @@
     EXPECT_GT(events["limit_account"], 1);
 }
 
+// Clients that connect anew after each answer, also after SIGTERM: the process ends by itself before the
+// kill, and what it took has an answer.
+class ReconnectingClients : public Scenario {
+  protected:
+    void connect() {
+        const auto link = reactor.dial(process->port());
+        auto answered = std::make_shared<bool>(false);
+        link->onConnected = [this, link] {
+            RequestText text;
+            text.method = "GET";
+            text.requestClass = options.setting.classes.front().name;
+            text.id = newRequestId();
+            text.plan = "basic";
+            text.key = "0000000000000007";
+            text.timeoutMs = options.setting.classes.front().deadlineMs;
+            text.volume = "00000000000000aa";
+            link->write(textOf(text));
+            ++asked;
+        };
+        link->onData = [this, link, answered](std::string_view) {
+            if (std::exchange(*answered, true)) return;
+            ++got;
+            link->close();
+            connect();
+        };
+        link->onEnd = [this, answered](Link::End) {
+            if (std::exchange(*answered, true) || !process->running()) return;
+            ++ended;
+            reactor.after(5, [this] { connect(); });
+        };
+    }
+    int asked = 0, got = 0, ended = 0;
+};
+TEST_F(ReconnectingClients, DoNotKeepAProcessThatIsToldToEnd) {
+    startReady();
+    pass(1000);
+    for (int i = 0; i < 6; ++i) connect();
+    pass(500);
+    EXPECT_GT(got, 20);
+    process->stop();
+    const double killAt = process->stoppedAt() + options.setting.killAfterMs();
+    EXPECT_TRUE(runUntil(killAt - 100 - reactor.now(), [&] { return !process->running(); }))
+        << "asked " << asked << ", answered " << got << ", ended without " << ended;
+    pass(200);
+    const bool byItself = std::any_of(events.begin(), events.end(), [](const Event& e) {
+        return e.kind == EventKind::Exited && e.status == 0;
+    });
+    EXPECT_TRUE(byItself);
+}
+
 // SIGHUP comes while the new configuration is half written; the list service moves, and a server drains right
 // after: it is heard of at the new place in time.
 TEST_F(Scenario, AConfigurationThatIsReadHalfWrittenIsReadAgain) {
