--- a/kit/soak/events.hpp
+++ b/kit/soak/events.hpp
@@ -66,6 +66,7 @@
 // Of one volume: units per second, units, units.
 struct LimitTerms {
     double rate = 0, burst = 0, slack = 0;
+    int hosts = 1;  // schedulers that its requests come through at a time
 };
 
 // The terms that the record is held to; figures as in the settings given to the schedulers.
@@ -81,6 +82,7 @@
     // Of what could be served to a class by servers that were well, outside limits, so much has to be.
     double leastServed = 1.0 / 3, leastAskedMs = 300;
     std::size_t fewestAsked = 60;
+    double fewestUnits = 30;  // due to a volume, from which its service is judged
     double toleranceMs = 50;  // of every time limit
 };
 
--- a/kit/soak/fault_control.hpp
+++ b/kit/soak/fault_control.hpp
@@ -19,6 +19,7 @@
     Interrupt,   // poll returns EINTR
     Pause,       // poll returns late, by up to pauseMs
     SlowDial,    // a connection comes up late, by up to dialMs
+    LosePeers,   // a datagram is lost
     Count
 };
 constexpr std::size_t kFaults = static_cast<std::size_t>(Fault::Count);
--- a/kit/soak/fault_shim.cpp
+++ b/kit/soak/fault_shim.cpp
@@ -114,11 +114,14 @@
     return ready;
 }
 
-bool isStream(int fd) {
+bool hasType(int fd, int wanted) {
     int type = 0;
     socklen_t size = sizeof type;
-    return getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &size) == 0 && type == SOCK_STREAM;
+    return getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &size) == 0 && type == wanted;
 }
+bool isStream(int fd) { return hasType(fd, SOCK_STREAM); }
+
+bool losesDatagram(int fd) { return strikes(Fault::LosePeers) && hasType(fd, SOCK_DGRAM); }
 
 }  // namespace
 
@@ -184,6 +187,20 @@
     return real(fd, buffer, size, flags);
 }
 
+ssize_t sendmsg(int fd, const msghdr* message, int flags) {
+    static const auto real = next<ssize_t (*)(int, const msghdr*, int)>("sendmsg");
+    if (!losesDatagram(fd)) return real(fd, message, flags);
+    size_t size = 0;
+    for (size_t i = 0; i < message->msg_iovlen; ++i) size += message->msg_iov[i].iov_len;
+    return static_cast<ssize_t>(size);
+}
+
+ssize_t sendto(int fd, const void* buffer, size_t size, int flags, const sockaddr* to, socklen_t length) {
+    static const auto real =
+        next<ssize_t (*)(int, const void*, size_t, int, const sockaddr*, socklen_t)>("sendto");
+    return losesDatagram(fd) ? static_cast<ssize_t>(size) : real(fd, buffer, size, flags, to, length);
+}
+
 int poll(pollfd* descriptors, nfds_t count, int timeout) {
     static const auto real = next<int (*)(pollfd*, nfds_t, int)>("poll");
     if (timeout != 0 && strikes(Fault::Interrupt)) {
--- a/kit/soak/main.cpp
+++ b/kit/soak/main.cpp
@@ -6,19 +6,21 @@
 #include <fstream>
 #include <string>
 
+#include "kit/soak/limit_play.hpp"
 #include "kit/soak/soak.hpp"
 
 namespace {
 
 namespace soak = spokewheel::soak;
 
-// What a run of the seed plays: its own settings and, on each third seed, crowds.
-soak::Options optionsOf(const soak::Options& options, std::uint64_t seed, bool fixed) {
+// What a run of the seed plays: its own settings, volumes at their limits and, on each third seed, crowds.
+soak::Options optionsOf(const soak::Options& options, std::uint64_t seed, bool fixed, bool limits) {
     soak::Options out = options;
     out.seed = seed;
     out.folder = options.folder + "/seed-" + std::to_string(seed);
     if (fixed) return out;
     out.setting = soak::drawSetting(seed);
+    if (limits) soak::drawLimitPlay(out.setting, seed, out.schedulers);
     out.crowds = out.crowds || seed % 3 == 0;
     return out;
 }
@@ -47,7 +49,7 @@
     CLI::App app{"spokewheel-soak: real schedulers under overlapping troubles, judged by their traffic"};
     soak::Options options;
     std::uint64_t seeds = 1;
-    bool calm = false, fixed = false;
+    bool calm = false, fixed = false, noLimits = false;
     app.add_option("--scheduler", options.scheduler, "the daemon")->required()->check(CLI::ExistingFile);
     app.add_option("--shim", options.shim, "the fault shim")->check(CLI::ExistingFile);
     app.add_option("--folder", options.folder,
@@ -62,6 +64,7 @@
         ->check(CLI::Range(0.1, 1000.0));
     app.add_flag("--calm", calm, "no troubles");
     app.add_flag("--fixed", fixed, "the same settings for each seed, and no crowds of its own");
+    app.add_flag("--no-limits", noLimits, "no volumes that are asked for without pause");
     app.add_flag("--crowds", options.crowds, "idle clients fill the descriptors now and then");
     app.add_option("--members", options.extraMembers, "listed servers beside those that are used")
         ->check(CLI::Range(0, 10000));
@@ -71,7 +74,7 @@
     options.troubles = !calm;
     std::uint64_t broken = 0;
     for (std::uint64_t seed = options.seed; seed < options.seed + seeds; ++seed) try {
-            broken += !play(optionsOf(options, seed, fixed || calm));
+            broken += !play(optionsOf(options, seed, fixed || calm, !noLimits));
         } catch (const std::exception& e) {
             std::fprintf(stderr, "spokewheel-soak: seed %llu: %s\n", static_cast<unsigned long long>(seed),
                          e.what());
--- a/kit/soak/setting.cpp
+++ b/kit/soak/setting.cpp
@@ -41,6 +41,14 @@
     }
     out << (peers ? "peers" : "no peers") << ", " << sockets << " descriptors, cold " << coldMs << " ms from "
         << coldShare;
+    for (const auto& volume : busyVolumes)
+        out << "; limit " << volume.limit.rate << "/s, " << volume.limit.burst << " at once, at "
+            << volume.hosts << " hosts, pause " << volume.pauseMs;
+    if (limitPlay.restarted >= 0)
+        out << "; n" << limitPlay.restarted << (limitPlay.planned ? " stopped" : " killed") << " every "
+            << limitPlay.restartEveryMs << " ms";
+    out << (limitPlay.moves ? "; volumes move" : "")
+        << (limitPlay.losesPeerMessages ? "; peers' messages are lost" : "");
     return out.str();
 }
 
--- a/kit/soak/setting.hpp
+++ b/kit/soak/setting.hpp
@@ -34,6 +34,14 @@
     std::string planName() const { return "plan-" + id; }
 };
 
+// What happens to the busy volumes of a run (limit_play.hpp).
+struct LimitPlay {
+    int restarted = -1;  // a scheduler that is restarted again and again; -1: none
+    bool planned = false;
+    double restartEveryMs = 0, downMs = 0;
+    bool moves = false, losesPeerMessages = false;
+};
+
 // One customer's settings. Milliseconds and units.
 struct Setting {
     std::vector<ClassPlan> classes = {{"read", "GET", 900, 0.5, {"read", false, false, false, 0}},
@@ -49,6 +57,7 @@
     double limit = 30, limitBurst = 45, limitSlack = 4;  // of the plan of volumes f1 and f2
     int topUnits = 4;                                    // of any request
     std::vector<BusyVolume> busyVolumes;
+    LimitPlay limitPlay;
     double dialTimeoutMs = 250, connIdleMs = 6000;
 
     double longestDeadlineMs() const;
--- a/kit/soak/soak.cpp
+++ b/kit/soak/soak.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <utility>
 
+#include "kit/soak/limit_play.hpp"
 #include "kit/soak/troubles.hpp"
 #include "kit/soak/world.hpp"
 
@@ -51,8 +52,10 @@
     std::signal(SIGPIPE, SIG_IGN);
     World world(options);
     Troubles troubles(world);
+    LimitTroubles limitTroubles(world);
     world.begin();
     world.reactor.runUntil(world.beganAt + kWarmUpMs);
+    limitTroubles.begin();
     const double end = world.beganAt + 1000 * options.seconds;
     while (world.reactor.now() < end) {
         if (options.troubles) troubles.strike();
@@ -60,6 +63,7 @@
     }
     world.measure();
     world.calm();
+    limitTroubles.calm();
     world.reactor.runUntil(world.reactor.now() + kSettleAtEndMs);
     world.end();
     return resultOf(world);
--- a/tests/gateway/soak_judge_test.cpp
+++ b/tests/gateway/soak_judge_test.cpp
@@ -351,6 +351,72 @@
     asked(29, {elsewhere});
     expectBreachOfClass("read");
 }
+// A volume's store is its own over all lives of a scheduler: each of two draws what the store holds.
+TEST_F(SoakJudge, FindsALimitPassedByTwoLives) {
+    auto terms = termsOfRun();
+    terms.volumes["v"] = {10, 40, 4};
+    const auto play = [&](int unitsOfSecondLife) {
+        record = soundRecord();
+        const auto take = [&](double from, int units, int life) {
+            for (int i = 0; i < units; ++i) {
+                const auto id = "l" + std::to_string(life) + "." + std::to_string(i);
+                record.push_back(sent(from, id));
+                record.back().process = life;
+                const auto first = record.size();
+                attempt(record, from + i, {.request = id, .volume = "v", .units = 1});
+                for (std::size_t k = first; k < record.size(); ++k) record[k].process = life;
+                record.push_back(answered(from + 200, id));
+                record.back().process = life;
+            }
+        };
+        take(100, 40, 1);
+        for (auto& e : record)
+            if (e.kind == EventKind::StopRequested) e.at = 900;
+            else if (e.kind == EventKind::Exited) e.at = 950;
+        record.push_back(event(EventKind::ProcessStarted, 1000));
+        record.back().process = 2;
+        record.push_back(event(EventKind::ProcessReady, 1050));
+        record.back().process = 2;
+        take(1100, unitsOfSecondLife, 2);
+        record.push_back(event(EventKind::StopRequested, 20000));
+        record.back().process = 2;
+        record.push_back(event(EventKind::Exited, 21000));
+        record.back().process = 2;
+        return judge(record, terms);
+    };
+    EXPECT_TRUE(play(14).empty());
+    const auto breaches = play(18);
+    ASSERT_FALSE(breaches.empty());
+    for (const auto& breach : breaches) EXPECT_EQ(breach.rule, Rule::Limits) << breach.words;
+}
+
+TEST_F(SoakJudge, FindsAVolumeThatIsStarvedWithinItsLimit) {
+    auto terms = termsOfRun();
+    terms.volumes["v"] = {20, 40, 4, 1};
+    const auto play = [&](int everyNthServed) {
+        record = soundRecord();
+        for (int i = 0; i < 200; ++i) {  // 40 units a second for 5 s
+            const double at = 25.0 * i;
+            const auto id = "v" + std::to_string(i);
+            auto request = sent(at, id);
+            request.cell = 2;
+            request.limited = true;
+            request.volume = "v";
+            request.units = 1;
+            record.push_back(request);
+            const bool served = i % everyNthServed == 0;
+            if (served) attempt(record, at + 5, {.request = id, .volume = "v", .units = 1});
+            record.push_back(answered(at + 30, id, served ? 200 : 503));
+        }
+        return judge(record, terms);
+    };
+    EXPECT_TRUE(play(5).empty());  // 40 of the 100 that the limit allows
+    const auto breaches = play(7);
+    ASSERT_EQ(breaches.size(), 1u);
+    EXPECT_EQ(breaches[0].rule, Rule::Service);
+    EXPECT_EQ(breaches[0].words.find("volume v: "), 0u) << breaches[0].words;
+}
+
 TEST_F(SoakJudge, FindsAViolatedInvariant) {
     record.push_back(event(EventKind::Violation, 100));
     record.back().words = "kind";
