--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -250,6 +250,8 @@
         }).detach();
     }
     int port() const { return port_; }
+    // While discovery is down the agent takes connections and says nothing.
+    void setSilent(bool silent) { silent_ = silent; }
     // Adds or changes a member; `member` is its JSON.
     void set(const std::string& id, const std::string& member) {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -283,6 +285,7 @@
         std::string rest;
         Message request;
         if (readMessage(fd, rest, request) == ReadResult::Message) {
+            while (silent_ && !hasEnded(fd)) sleepMs(5);
             std::size_t told;
             std::string first;
             {
@@ -299,6 +302,7 @@
     void follow(int fd, std::size_t told) {
         for (double lastLine = nowMs(); !hasEnded(fd); sleepMs(5)) {
             std::string text;
+            if (silent_) continue;
             {
                 const std::lock_guard<std::mutex> lock(mutex_);
                 for (; told < changes_.size(); ++told)
@@ -311,6 +315,7 @@
             if (!sendAll(fd, chunk(text))) return;
         }
     }
+    std::atomic<bool> silent_{false};
     std::mutex mutex_;
     int port_ = 0, revision_ = 40;
     std::map<std::string, std::string> members_;
@@ -331,6 +336,7 @@
     ~Scheduler() { kill(); }
     int port() const { return port_; }
     pid_t process() const { return pid_; }
+    int peerPort() const { return peerPort_; }
     std::string configPath() const { return folder_ + "/" + name_ + ".json"; }
     // `peers`: the addresses of all schedulers as a JSON list; empty: this one alone.
     void configure(Agent& agent, int memoryMb = 192, int sockets = 256, const std::string& peers = "") {
