--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,13 +1,17 @@
-// Two clients write one key, 70 ms apart, while the scheduler is held up for 0.12 s: does the order hold in
-// which their requests were taken?
+// A release begins, discovery goes down 0.2 s later, and a scheduler dies and comes back meanwhile. Does it
+// send new work to a server that its own agent had been told is draining?
 #include "standin.hpp"
 
 using namespace review;
 
 namespace {
 
-constexpr int kRounds = 8;
-constexpr double kHeldUpMs = 120;  // at most 150 ms by the pages
+constexpr double kDrainGraceMs = 2000, kToleranceMs = 50;
+constexpr double kSpreadMs =
+    200;  // by which the agents of other schedulers hear later; 85 to 280 by the site file
+constexpr double kOutageMs = 8000;  // of discovery
+constexpr double kAwayMs = 1600;    // between the death and the new start; 1.5 to 7.7 s by the brief
+constexpr int kSchedulers = 3;
 
 }  // namespace
 
@@ -15,64 +19,88 @@
     signal(SIGPIPE, SIG_IGN);
     Record record(arguments[2]);
     std::mutex mutex;
-    std::map<std::string, std::string> stored;
-    std::map<std::string, double> beganAt;
-    DiskServer server("s-0", 0, [&](const Message& request, int) {
-        const auto key = request.field("cookie"), id = request.field("x-request-id");
-        std::string body;
-        {
-            const std::lock_guard<std::mutex> lock(mutex);
-            beganAt.emplace(id, nowMs());
-            if (request.method == "PUT") stored[key] = request.body;
-            body = stored[key];
-        }
-        record.line("server: %s %s runs, %s is now '%s'", request.method.c_str(), id.c_str(), key.c_str(),
-                    body.c_str());
-        sleepMs(20);
-        return response(200, body);
-    });
-    Agent agent;
-    agent.set("s-0", server.member());
-    Scheduler scheduler(record, arguments[1], bookingSettings().text());
-    scheduler.configure(agent);
-    if (!scheduler.start()) finish(record, scheduler, 2, "the scheduler was not ready");
+    std::vector<double> beganAtDraining;
+    const auto serve = [&](const char* name) {
+        return [&record, &mutex, &beganAtDraining, name](const Message& request, int) {
+            const auto id = request.field("x-request-id");
+            record.line("%s: %s %s runs", name, request.method.c_str(), id.c_str());
+            if (std::strcmp(name, "s-1") == 0) {
+                const std::lock_guard<std::mutex> lock(mutex);
+                beganAtDraining.push_back(nowMs());
+            }
+            sleepMs(20);
+            return response(200, "of " + id);
+        };
+    };
+    DiskServer first("s-0", 0, serve("s-0")), draining("s-1", 1, serve("s-1")), third("s-2", 2, serve("s-2"));
+    Agent agents[kSchedulers];
+    for (auto& agent : agents)
+        for (const auto* server : {&first, &draining, &third}) agent.set(server->id(), server->member());
+    std::vector<std::unique_ptr<Scheduler>> schedulers;
+    std::string peers;
+    for (int n = 0; n < kSchedulers; ++n) {
+        auto settings = archiveSettings();
+        settings.hosts = kSchedulers, settings.rank = n;
+        schedulers.push_back(
+            std::make_unique<Scheduler>(record, arguments[1], settings.text(), "n" + std::to_string(n)));
+        peers += (n ? ",\"" : "[\"") + loopback(schedulers.back()->peerPort()) + "\"";
+    }
+    peers += "]";
+    auto& n0 = *schedulers[0];
+    const auto end = [&](int code, const char* verdict) {
+        for (auto& scheduler : schedulers) scheduler->kill();
+        finish(record, n0, code, verdict);
+    };
+    for (int n = 0; n < kSchedulers; ++n) {
+        schedulers[n]->configure(agents[n], 192, 256, peers);
+        if (!schedulers[n]->start()) end(2, "a scheduler was not ready");
+    }
+    sleepMs(1000);
 
-    const int connections[] = {dialLoopback(scheduler.port()), dialLoopback(scheduler.port())};
-    sleepMs(300);
-    int broken = 0;
-    for (int round = 0; round < kRounds; ++round) {
-        char key[20];
-        std::snprintf(key, sizeof key, "%016x", 0x7f30 + round);
-        const int first = connections[round % 2], second = connections[1 - round % 2];
-        const auto older = booking("PUT", key, "older"), newer = booking("PUT", key, "newer");
-        if (withTrouble()) scheduler.signal(SIGSTOP);
-        const double from = nowMs();
-        sleepUntil(from + 15);
-        sendAll(first, older.text());
-        record.line("client 1: %s, 'older', whole request sent", older.id.c_str());
-        sleepUntil(from + 85);
-        sendAll(second, newer.text());
-        record.line("client 2: %s, 'newer', whole request sent", newer.id.c_str());
-        sleepUntil(from + kHeldUpMs);
-        if (withTrouble()) scheduler.signal(SIGCONT);
-        Message answers[2], read;
-        std::string rest;
-        if (readMessage(first, rest, answers[0], nowMs() + 3000) != ReadResult::Message ||
-            readMessage(second, rest, answers[1], nowMs() + 3000) != ReadResult::Message)
-            finish(record, scheduler, 2, "an answer is missing");
-        sendAll(first, booking("GET", key, "").text());
-        readMessage(first, rest, read, nowMs() + 3000);
-        record.line("answers %d and %d; a read gives '%s'", answers[0].status, answers[1].status,
-                    read.body.c_str());
-        const std::lock_guard<std::mutex> lock(mutex);
-        if (answers[0].status != 200 || answers[1].status != 200 || beganAt[older.id] <= beganAt[newer.id])
-            continue;
+    agents[0].set("s-1", draining.member("draining"));
+    record.line("the agent of n0 tells it that s-1 is draining");
+    double toldAt = nowMs();
+    const double outageAt = toldAt + kSpreadMs;
+    if (withTrouble()) {
+        sleepUntil(outageAt);
+        for (auto& agent : agents) agent.setSilent(true);
         record.line(
-            "round %d: the request that was taken later ran first; the older write has replaced the newer",
-            round);
-        ++broken;
+            "discovery is down: the agents say nothing; those of n1 and n2 have not heard of the drain");
+        sleepMs(100);
+        n0.signal(SIGKILL);
+        n0.kill();
+        sleepMs(kAwayMs);
+        toldAt = nowMs();                                   // "from the first moment of a new process"
+        if (!n0.start()) end(2, "n0 was not ready again");  // its `known` is the list before the drain
+    } else {
+        for (int n = 1; n < kSchedulers; ++n) agents[n].set("s-1", draining.member("draining"));
+    }
+
+    const int fd = dialLoopback(n0.port());
+    std::string rest;
+    for (int i = 0; nowMs() < outageAt + kOutageMs; ++i) {
+        auto request = archiveUpload("sheet");  // a new object: any server may take it
+        if (i % 2) {
+            request = ClientRequest();
+            request.requestClass = "tile-read", request.plan = "premium", request.id = newId();
+            request.shard = 1, request.timeoutMs = 1000;
+        }
+        Message answer;
+        if (!sendAll(fd, request.text()) ||
+            readMessage(fd, rest, answer, nowMs() + 5000) != ReadResult::Message)
+            end(2, "an answer is missing");
+        record.line("client of n0: %s %s answered with %d", request.method.c_str(), request.id.c_str(),
+                    answer.status);
+        sleepMs(100);
     }
-    record.line("%d of %d rounds out of order", broken, kRounds);
-    if (broken) finish(record, scheduler, 1, "BROKEN: requests of one key ran out of order");
-    finish(record, scheduler, 0, "held");
+    for (auto& agent : agents) agent.setSilent(false);
+    const std::lock_guard<std::mutex> lock(mutex);
+    int late = 0;
+    double last = 0;
+    for (const double at : beganAtDraining)
+        if (at > toldAt + kDrainGraceMs + kToleranceMs) ++late, last = at - toldAt;
+    record.line("%d attempts at s-1 began later than %.0f ms after n0 was told, the last %.0f ms after", late,
+                kDrainGraceMs + kToleranceMs, last);
+    if (late) end(1, "BROKEN: new work went to a server that was told to be draining");
+    end(0, "held");
 }
