--- a/kit/soak/scheduler_process.cpp
+++ b/kit/soak/scheduler_process.cpp
@@ -81,7 +81,8 @@
                                                   static_cast<unsigned>(incarnation_ * 997 + rank_)));
     const auto text = R"({"name":"n)" + std::to_string(rank_) + R"(","listen":")" +
                       addressText(ports_.clients) + R"(","discovery":")" + addressText(discoveryPort) +
-                      R"(","seed":")" + seed + R"(","limits":{"cores":1.0,"memory_mb":64,"sockets":)" +
+                      R"(","seed":")" + seed + R"(","limits":{"cores":1.0,"memory_mb":)" +
+                      std::to_string(options_.settings.memoryMb) + R"(,"sockets":)" +
                       std::to_string(options_.settings.sockets) + R"(},"peer_listen":")" +
                       addressText(ports_.peers) + R"(","peers":[)" + peers + R"(],"known":)" + nodeList +
                       R"(,"settings":)" + settingsJson(options_, rank_) + "}";
@@ -246,4 +247,11 @@
     return out;
 }
 
+double SchedulerProcess::anonymousMb() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);)
+        if (line.rfind("RssAnon:", 0) == 0) return std::atof(line.c_str() + 8) / 1024;
+    return 0;
+}
+
 }  // namespace spokewheel::soak
--- a/kit/soak/scheduler_process.hpp
+++ b/kit/soak/scheduler_process.hpp
@@ -53,6 +53,9 @@
         std::size_t descriptors = 0;
     };
     Usage usage() const;
+    // Memory that the process shares with nobody and that no file backs, in MiB; 0 if it does not run. The
+    // platform kills a process that has more of it than its limit.
+    double anonymousMb() const;
 
   private:
     void pollExit();
--- a/kit/soak/setting.hpp
+++ b/kit/soak/setting.hpp
@@ -51,6 +51,7 @@
                                           {"ordered", "PUT", 1000, 0.15, {"ordered", false, false, true, 0}}};
     bool peers = true;          // whether schedulers may exchange messages
     std::size_t sockets = 256;  // limit on the descriptors of a scheduler
+    std::size_t memoryMb = 64;  // limit on its memory
     double serverUnitsPerS = 120;
     double coldMs = 4000, coldShare = 0.05, coldUnits = 9, overloadFactor = 1.5, overloadSpanMs = 1000;
     double meanUnits = 2, drainGraceMs = 2000, settleAfterDoubtMs = 120;
--- a/src/fronts/http/decide_connections.hpp
+++ b/src/fronts/http/decide_connections.hpp
@@ -19,7 +19,8 @@
     double since = 0;       // start of this phase; until the first request is complete, of the connection
     bool first = true;      // no complete request received yet
     double flushedAt = -1;  // Closing: when the queue had been handed to the kernel; negative: not yet
-    bool unread = false;    // bytes or an end of stream wait in the socket
+    bool unread = false;    // bytes, requests or an end of stream wait to be read or served
+    bool unsent = false;    // part of an answer is not handed to the kernel yet
     bool hungUp = false;    // Closing: the peer has ended its side too
     double lastByteAt = 0;  // Receiving: when the latest bytes were read
 };
@@ -38,16 +39,6 @@
 constexpr double kCloseLingerMs = 500, kFlushTimeoutMs = 5000;
 // Bytes that are discarded on a closing connection before it is closed at once.
 constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
-// Bytes that may be pipelined behind an open request: the most for one connection, and what each connection
-// may always have whatever the total; and how much more is read and discarded, so that the client's end of
-// stream is noticed, before reading pauses until the request is answered.
-constexpr std::size_t kMaxPipelinedBytes = 512 * 1024, kMinPipelinedBytes = 32 * 1024,
-                      kMaxFloodBytes = 8 * 1024 * 1024;
-// `total` and `maxTotal` are sums over all connections.
-inline bool pipelinedFits(std::size_t ofConnection, std::size_t total, std::size_t maxTotal) {
-    return ofConnection <= kMinPipelinedBytes || (ofConnection <= kMaxPipelinedBytes && total <= maxTotal);
-}
-
 // Clients' connections may take a third of the descriptors, idle ones included; beyond that requests can't
 // get a connection.
 inline std::size_t maxRequestConnections(std::size_t descriptors) { return descriptors / 3; }
@@ -74,7 +65,7 @@
     RequestTimeout,  // a request was not completed in time
     GaveWay,         // evicted at the connection limit in favour of a new connection
     FlushTimeout,    // the client does not read its answer
-    Flood,           // too many bytes pipelined behind an open request
+    Flood,           // too many bytes after the end of a connection
     Count
 };
 inline const char* nameOf(CloseReason reason) {
@@ -112,6 +103,8 @@
             if (s.unread || (!draining && elapsedMs < kFirstRequestTimeoutMs)) return {};
             return {CloseAction::ShutDown, draining ? CloseReason::Draining : CloseReason::Silent};
         case ConnectionState::Phase::Idle:
+            if (s.unsent && elapsedMs >= kFlushTimeoutMs)
+                return {CloseAction::Close, CloseReason::FlushTimeout};
             if (s.unread || (!draining && elapsedMs < (capacity == Capacity::Ample ? kIdleTimeoutMs
                                                                                    : kShortIdleTimeoutMs)))
                 return {};
--- /dev/null
+++ b/src/fronts/http/request_reader.cpp
@@ -0,0 +1,121 @@
+#include "fronts/http/request_reader.hpp"
+
+#include <utility>
+
+namespace spokewheel::fronts::http {
+
+std::size_t ReceivedRequest::memory() const {
+    std::size_t bytes = kRequestOverheadBytes + body.capacity() + error.capacity();
+    if (!decoded.work.nodeRequest) return bytes;
+    for (const auto& [name, value] : decoded.work.nodeRequest->fields)
+        bytes += kHeadMemoryFactor * (name.size() + value.size());
+    return bytes;
+}
+
+std::size_t RequestReader::bodyMemory() const {
+    const bool chunked = parser_.head().find("Transfer-Encoding") != nullptr;
+    return static_cast<std::size_t>(chunked ? kMaxBodyBytes : parser_.remainingBodyBytes());
+}
+
+std::size_t RequestReader::requestMemory() const {
+    return kRequestOverheadBytes + kHeadMemoryFactor * parser_.headBytes() + bodyMemory();
+}
+
+std::size_t RequestReader::memory() const {
+    const std::size_t reading =
+        inMessage() ? kRequestOverheadBytes + kHeadMemoryFactor * parser_.headBytes() : 0;
+    return reading + current_.body.capacity() + queuedMemory_;
+}
+
+RequestReader::Result RequestReader::next(std::string_view& bytes, double arrivedAt) {
+    using Parsed = wire::http::Parser::Result;
+    std::string_view body;
+    if (ended_) {
+        bytes = {};
+        return Result::NeedMore;
+    }
+    if (!bytes.empty()) current_.arrivedAt = arrivedAt;
+    for (;;) switch (parser_.next(bytes, body)) {
+            case Parsed::NeedMore:
+                return Result::NeedMore;
+            case Parsed::Head:
+                return onHead();
+            case Parsed::Body:
+                if (current_.kind == ReceivedRequest::Kind::Valid) current_.body += body;
+                break;
+            case Parsed::End:
+                if (current_.kind == ReceivedRequest::Kind::Valid && !current_.body.empty() &&
+                    current_.decoded.work.nodeRequest->method == "GET")
+                    return fail(400, "a GET with a body");
+                return finish(current_.kind);
+            case Parsed::Invalid:
+                return fail(400, parser_.error());
+        }
+}
+
+RequestReader::Result RequestReader::onHead() {
+    const auto& head = parser_.head();
+    awaitsDecision_ = true;
+    if (head.method == "GET" && head.target == "/ready") {
+        current_.kind = ReceivedRequest::Kind::ReadinessCheck;
+        return Result::NeedMemory;
+    }
+    current_.decoded = decodeRequest(head, settings_);
+    if (current_.decoded.status) return fail(current_.decoded.status, current_.decoded.error);
+    const auto* expect = head.find("Expect");
+    expectsContinue_ = expect && wire::http::equalsIgnoreCase(*expect, "100-continue");
+    return Result::NeedMemory;
+}
+
+void RequestReader::decide(bool admitted) {
+    awaitsDecision_ = false;
+    if (!admitted) {
+        current_.kind = ReceivedRequest::Kind::Refused;
+        current_.decoded = {};
+    } else if (current_.kind == ReceivedRequest::Kind::Valid) current_.body.reserve(bodyMemory());
+}
+
+RequestReader::Result RequestReader::finish(ReceivedRequest::Kind kind) {
+    current_.kind = kind;
+    current_.last = kind == ReceivedRequest::Kind::Invalid || parser_.closesConnection();
+    if (kind != ReceivedRequest::Kind::Valid) current_.decoded = {}, current_.body = {};
+    current_.body.shrink_to_fit();
+    ended_ = ended_ || current_.last;
+    enqueue(std::exchange(current_, {}));
+    parser_.reset();
+    awaitsDecision_ = expectsContinue_ = false;
+    return Result::Complete;
+}
+
+// Refused requests in a row are only counted, so that an endless flood of them takes no memory.
+void RequestReader::enqueue(ReceivedRequest request) {
+    using Kind = ReceivedRequest::Kind;
+    if (request.kind == Kind::Refused && !request.last && !queue_.empty() &&
+        queue_.back().kind == Kind::Refused) {
+        ++queue_.back().count;
+        return;
+    }
+    queuedMemory_ += request.memory();
+    queue_.push_back(std::move(request));
+}
+
+RequestReader::Result RequestReader::fail(int status, std::string error) {
+    current_.status = status;
+    current_.error = std::move(error);
+    return finish(ReceivedRequest::Kind::Invalid);
+}
+
+ReceivedRequest RequestReader::takeFirst() {
+    if (queue_.front().count > 1) {
+        --queue_.front().count;
+        ReceivedRequest refused;
+        refused.kind = ReceivedRequest::Kind::Refused;
+        return refused;
+    }
+    auto first = std::move(queue_.front());
+    queue_.pop_front();
+    queuedMemory_ -= first.memory();
+    return first;
+}
+
+}  // namespace spokewheel::fronts::http
--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -1,7 +1,6 @@
 #include "fronts/http/server.hpp"
 
 #include <cstdio>
-#include <deque>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -11,35 +10,56 @@
 using Phase = ConnectionState::Phase;
 
 struct Server::Session {
+    explicit Session(const Settings& settings) : reader(settings) {}
     std::uint64_t number = 0;
     std::shared_ptr<io::Connection> connection;
-    wire::http::Parser parser{wire::http::Parser::Kind::Request, {16 * 1024, 64, kMaxBodyBytes}};
+    RequestReader reader;
     ConnectionState state;
-    DecodedRequest decoded;
-    std::string body;
-    // Bytes received behind the open request, with their arrival times; parsed once that is answered.
-    std::deque<std::pair<double, std::string>> pipelined;
-    std::size_t pipelinedBytes = 0;
-    std::string hostRequestId;          // the host's id of the open request; empty if there is none
-    std::size_t dropped = 0;            // bytes discarded while closing or beyond the pipelining limit
-    bool flooded = false;               // more bytes came behind the open request than are kept
-    double arrivedAt = 0;               // of the bytes being parsed, on io::nowMs()
-    bool isReadinessCheck = false;      // the current request is GET /ready
+    std::string openId;          // X-Request-ID of the open request
+    bool openIsLast = false;     // its client wants the connection closed after the answer
+    std::size_t openMemory = 0;  // of the open request without its body
+    std::string hostRequestId;   // the host's id of the open request; empty if there is none
+    // Read but not parsed, because the request before it waits for memory since `waitsSince` (negative: no).
+    std::string held;
+    double heldArrivedAt = 0, waitsSince = -1;
+    bool inWaitingList = false;
+    bool readsOn = false;  // more came behind the open request than an end of stream would be seen behind
+    host::MemoryBudget::Lease memory;
+    std::size_t discarded = 0;          // bytes discarded while closing
     bool failed = false;                // ended by an error response: later bytes need no answer
     std::optional<CloseReason> reason;  // set once this side has begun to close the connection
+    bool waits() const { return waitsSince >= 0; }
 };
 
 namespace {
 
 constexpr double kSweepMs = 100;
 
+// A request body that is charged to the budget for as long as anything refers to it.
+struct ChargedBody {
+    std::string text;
+    host::MemoryBudget::Lease lease;
+};
+std::shared_ptr<const std::string> chargeBody(host::MemoryBudget& memory, std::string text) {
+    auto body = std::make_shared<ChargedBody>();
+    body->text = std::move(text);
+    body->lease = memory.acquire(body->text.capacity());
+    return {body, &body->text};
+}
+
 }  // namespace
 
-Server::Server(host::Host& host, const Settings& settings, const io::Address& address, Caps caps)
+Server::Server(host::Host& host, const Settings& settings, const io::Address& address,
+               std::size_t descriptors, host::MemoryBudget& memory)
     : host_(host),
       settings_(settings),
-      caps_(caps),
-      maxConnections_(splitDescriptors(caps.descriptors).clients) {
+      descriptors_(descriptors),
+      maxConnections_(splitDescriptors(descriptors).clients),
+      memory_(memory) {
+    memory_.onRelease([this, alive = alive_] {
+        if (*alive && !waiting_.empty() && !admissionTimer_.armed())
+            admissionTimer_.arm(0, [this] { retryAdmissions(); });
+    });
     listener_ = std::make_unique<io::Listener>(
         address, [this](std::shared_ptr<io::Connection> c) { onAccepted(std::move(c)); });
     sweepTimer_.arm(kSweepMs, [this] { sweep(); });
@@ -60,9 +80,11 @@
 
 void Server::onAccepted(std::shared_ptr<io::Connection> connection) {
     if (sessions_.size() >= maxConnections_) evictConnection();
-    auto s = std::make_shared<Session>();
+    auto s = std::make_shared<Session>(settings_);
     s->number = ++nextSession_;
     s->connection = std::move(connection);
+    s->connection->setReadChunk(kClientReadChunkBytes);
+    s->memory = memory_.acquire(0);
     enterPhase(*s, Phase::Silent);
     sessions_[s->number] = s;
     ++counts_.connections;
@@ -72,7 +94,9 @@
                                [this, weak](std::string_view bytes) {
                                    if (const auto l = weak.lock()) onData(l, bytes);
                                },
-                               {},
+                               [this, weak] {
+                                   if (const auto l = weak.lock()) onDrained(l);
+                               },
                                [this, weak](io::DisconnectReason) {
                                    if (const auto l = weak.lock()) onClosed(l);
                                }});
@@ -80,7 +104,9 @@
 
 const ConnectionState& Server::updateState(Session& s) {
     auto& state = s.state;
-    state.unread = state.phase != Phase::Open && s.connection->readable();
+    const bool unanswered = !s.reader.queue().empty() || s.waits();
+    state.unread = state.phase != Phase::Open && (unanswered || s.connection->readable());
+    state.unsent = s.connection->queued() > 0;
     state.hungUp = state.phase == Phase::Closing && s.connection->hungUp();
     if (state.phase == Phase::Closing && state.flushedAt < 0 && s.connection->queued() == 0)
         state.flushedAt = io::nowMs();
@@ -100,7 +126,7 @@
 }
 
 Capacity Server::capacity() const {
-    return expectsConnections_ ? capacityOf(sessions_.size(), caps_.descriptors) : Capacity::Ample;
+    return expectsConnections_ ? capacityOf(sessions_.size(), descriptors_) : Capacity::Ample;
 }
 
 void Server::sweep() {
@@ -109,18 +135,20 @@
     if (!listening_) listener_->acceptPendingThenStop();
     const auto capacity = this->capacity();
     std::vector<std::pair<SessionPtr, Decision>> ending;
-    for (const auto& [number, s] : sessions_)
+    for (const auto& [number, s] : sessions_) {
+        updateMemory(*s);
         if (const auto decision = decide(updateState(*s), capacity, draining_, now);
             decision.action != CloseAction::Keep)
             ending.emplace_back(s, decision);
+    }
     for (const auto& [s, decision] : ending)
         if (decision.action == CloseAction::ErrorThenShutDown)
             sendError(s, 408, "the request did not come whole in time", decision.reason);
         else if (decision.action == CloseAction::ShutDown) shutDown(s, decision.reason);
         else close(s, decision.reason);
-    if (draining_ && onDrained_ && sessions_.empty() && !listener_->hasPending()) {
+    if (draining_ && onEmpty_ && sessions_.empty() && !listener_->hasPending()) {
         listener_->stop();
-        return std::exchange(onDrained_, nullptr)();
+        return std::exchange(onEmpty_, nullptr)();
     }
     sweepTimer_.arm(kSweepMs, [this] { sweep(); });
 }
@@ -128,7 +156,7 @@
 void Server::drain(std::function<void()> done) {
     reportsReady_ = false;
     draining_ = true;
-    onDrained_ = std::move(done);
+    onEmpty_ = std::move(done);
 }
 
 void Server::stopListening() {
@@ -137,109 +165,183 @@
 }
 
 void Server::onData(const SessionPtr& s, std::string_view bytes) {
-    switch (s->state.phase) {
-        case Phase::Open:
-            return bufferPipelined(s, bytes);
-        case Phase::Closing:
-            if ((s->dropped += bytes.size()) > kMaxDiscardedBytes) close(s, CloseReason::Flood);
-            return;
-        default:
-            s->state.lastByteAt = io::nowMs();
-            s->arrivedAt = s->connection->arrivedAtMs();
-            return parse(s, bytes);
+    if (s->state.phase == Phase::Closing) {
+        if ((s->discarded += bytes.size()) > kMaxDiscardedBytes) close(s, CloseReason::Flood);
+        return;
     }
+    s->state.lastByteAt = io::nowMs();
+    receive(s, bytes, s->connection->arrivedAtMs());
+    updateMemory(*s);
 }
 
-// Reading continues, so that the client's end of stream is noticed. Bytes beyond the limit are discarded, and
-// the connection ends once the requests before them are answered.
-void Server::bufferPipelined(const SessionPtr& s, std::string_view bytes) {
-    if (!s->flooded &&
-        pipelinedFits(s->pipelinedBytes + bytes.size(), pipelinedBytes_ + bytes.size(), caps_.pipelined)) {
-        s->pipelined.emplace_back(s->connection->arrivedAtMs(), bytes);
-        s->pipelinedBytes += bytes.size();
-        pipelinedBytes_ += bytes.size();
-        return;
-    }
-    s->flooded = true;
-    s->dropped += bytes.size();
-    if (s->dropped > kMaxFloodBytes) s->connection->pauseReading();  // the open request is still answered
-}
-
-void Server::dropPipelined(Session& s) {
-    pipelinedBytes_ -= std::exchange(s.pipelinedBytes, 0);
-    s.pipelined.clear();
-}
-
-void Server::parse(const SessionPtr& s, std::string_view bytes) {
-    using Result = wire::http::Parser::Result;
-    std::string_view body;
-    while (s->connection->open()) {
-        if (s->state.phase == Phase::Open) {
-            // These bytes arrived with the request that is open now, ahead of any buffered since.
-            if (!bytes.empty()) s->pipelined.emplace_front(s->arrivedAt, bytes);
-            s->pipelinedBytes += bytes.size();
-            pipelinedBytes_ += bytes.size();
-            return;
-        }
-        if (s->state.phase == Phase::Closing) return;
-        if (!bytes.empty() && s->state.phase != Phase::Receiving) enterPhase(*s, Phase::Receiving);
-        switch (s->parser.next(bytes, body)) {
+// The client has read enough of its answers.
+void Server::onDrained(const SessionPtr& s) {
+    if (s->state.phase == Phase::Closing) return;
+    serveNext(s);
+    if (s->state.phase != Phase::Closing && !s->waits()) s->connection->resumeReading();
+    updateMemory(*s);
+}
+
+void Server::updateMemory(Session& s) {
+    s.memory.resize(s.reader.memory() + s.held.capacity() + s.openMemory + s.connection->queued());
+}
+
+// Reading continues while a request is open, so that the client's end of stream is noticed. What comes
+// behind it is kept, left in the socket, or refused in its turn.
+void Server::receive(const SessionPtr& s, std::string_view bytes, double arrivedAt) {
+    using Result = RequestReader::Result;
+    while (s->connection->open() && s->state.phase != Phase::Closing) {
+        const bool resting = s->state.phase == Phase::Silent || s->state.phase == Phase::Idle;
+        if (resting && !bytes.empty() && !s->connection->backlogged()) enterPhase(*s, Phase::Receiving);
+        switch (s->reader.next(bytes, arrivedAt)) {
             case Result::NeedMore:
                 return;
-            case Result::Head:
-                if (!onHead(s)) return;
-                break;
-            case Result::Body:
-                s->body += body;
+            case Result::NeedMemory:
+                if (!admitCurrent(*s)) return waitForMemory(*s, bytes, arrivedAt);
                 break;
-            case Result::End:
-                onRequest(s);
+            case Result::Complete:
+                s->state.first = false;
+                serveNext(s);
                 break;
-            case Result::Invalid:
-                return sendError(s, 400, s->parser.error());
         }
     }
 }
 
-// Returns false if the request has already been answered with an error.
-bool Server::onHead(const SessionPtr& s) {
-    const auto& head = s->parser.head();
-    s->isReadinessCheck = head.method == "GET" && head.target == "/ready";
-    if (s->isReadinessCheck) return true;
-    s->decoded = decodeRequest(head, settings_);
-    if (s->decoded.status) {
-        sendError(s, s->decoded.status, s->decoded.error);
-        return false;
+// Decides on the request whose head was read last. Returns false if it is to wait.
+bool Server::admitCurrent(Session& s) {
+    const bool behind = s.state.phase == Phase::Open || !s.reader.queue().empty();
+    const auto place = behind ? RequestPlace::BehindOpen : RequestPlace::Next;
+    const auto needed = behind ? s.reader.requestMemory() : s.reader.bodyMemory();
+    const MemoryState memory{memory_.capacity(), memory_.used(), s.reader.queuedMemory()};
+    const double waitedMs = s.waits() ? io::nowMs() - s.waitsSince : 0;
+    // Once too much is unread all of it is read: the client may still be sending as fast as it is read.
+    s.readsOn = behind && (s.readsOn || s.connection->unreadBytes() >= kMaxUnreadBytes);
+    const auto admission = admit(place, needed, memory, waitedMs, !s.readsOn);
+    if (admission == Admission::Wait) return false;
+    counts_.memoryRefusals += admission == Admission::Refuse;
+    s.reader.decide(admission == Admission::Admitted);
+    if (!behind) sendContinue(s);
+    updateMemory(s);
+    return true;
+}
+
+void Server::sendContinue(Session& s) {
+    if (!s.reader.takeExpectsContinue()) return;
+    s.connection->write("HTTP/1.1 100 Continue\r\n\r\n");
+    s.connection->flush();
+}
+
+void Server::waitForMemory(Session& s, std::string_view rest, double arrivedAt) {
+    s.held = std::string(rest);
+    s.heldArrivedAt = arrivedAt;
+    s.waitsSince = io::nowMs();
+    s.connection->pauseReading();
+    ++counts_.memoryWaits;
+    addToWaiting(s);
+    if (!pausedTimer_.armed()) pausedTimer_.arm(kPausedCheckMs, [this] { checkPaused(); });
+}
+
+void Server::addToWaiting(Session& s) {
+    if (!std::exchange(s.inWaitingList, true)) waiting_.push_back(s.number);
+}
+
+void Server::retryAdmission(const SessionPtr& s) {
+    if (!s->waits() || s->state.phase == Phase::Closing || !admitCurrent(*s)) return;
+    s->waitsSince = -1;
+    const auto held = std::exchange(s->held, {});
+    s->connection->resumeReading();
+    receive(s, held, s->heldArrivedAt);
+    updateMemory(*s);
+}
+
+// In the order in which they began to wait.
+void Server::retryAdmissions() {
+    for (std::size_t left = waiting_.size(); left > 0; --left) {
+        const auto number = waiting_.front();
+        waiting_.pop_front();
+        const auto found = sessions_.find(number);
+        if (found == sessions_.end()) continue;
+        const auto s = found->second;
+        s->inWaitingList = false;
+        retryAdmission(s);
+        if (s->waits()) addToWaiting(*s);
+    }
+}
+
+// Reading is paused on connections that wait for memory, so their clients' going is looked for here.
+void Server::checkPaused() {
+    for (const auto number : std::deque<std::uint64_t>(waiting_)) {
+        const auto found = sessions_.find(number);
+        if (found == sessions_.end()) continue;
+        const auto s = found->second;
+        if (s->waits() && s->state.phase == Phase::Open && s->connection->peerEnded()) clientLeft(s);
+        else s->connection->observeUnread();
+    }
+    retryAdmissions();
+    if (!waiting_.empty()) pausedTimer_.arm(kPausedCheckMs, [this] { checkPaused(); });
+}
+
+// Whether the client of the open request is still there; called directly before the first byte of each
+// attempt. The loop may be delayed between its poll and the attempt, so what is pending is read. If reading
+// is paused with so much unread that an end of stream may lie beyond it, the rest is read and refused.
+bool Server::clientWaiting(const SessionPtr& s) {
+    if (s->waits() && s->connection->peerEnded()) clientLeft(s);
+    else if (s->waits()) retryAdmission(s);
+    if (s->connection->open()) s->connection->readPending();
+    return s->connection->open();
+}
+
+void Server::clientLeft(const SessionPtr& s) {
+    s->connection->close();
+    onClosed(s);
+}
+
+// Answers or submits the requests that have been read, until one is open.
+void Server::serveNext(const SessionPtr& s) {
+    while (s->connection->open() && s->state.phase != Phase::Open && s->state.phase != Phase::Closing &&
+           !s->reader.queue().empty()) {
+        if (s->connection->backlogged()) {  // until onDrained()
+            if (s->state.phase != Phase::Idle) enterPhase(*s, Phase::Idle);
+            return s->connection->pauseReading();
+        }
+        dispatch(s, s->reader.takeFirst());
     }
-    if (const auto* expect = head.find("Expect");
-        expect && wire::http::equalsIgnoreCase(*expect, "100-continue")) {
-        s->connection->write("HTTP/1.1 100 Continue\r\n\r\n");
-        s->connection->flush();
+    if (s->state.phase != Phase::Idle || !s->reader.inMessage()) return;
+    enterPhase(*s, Phase::Receiving);
+    sendContinue(*s);
+}
+
+void Server::dispatch(const SessionPtr& s, ReceivedRequest request) {
+    switch (request.kind) {
+        case ReceivedRequest::Kind::Valid:
+            return submit(s, std::move(request));
+        case ReceivedRequest::Kind::ReadinessCheck:
+            return sendAnswer(s, reportsReady_ ? 200 : 503, {}, "", request.last);
+        case ReceivedRequest::Kind::Refused:
+            return sendAnswer(s, 503, {}, "", request.last);
+        case ReceivedRequest::Kind::Invalid:
+            return sendError(s, request.status, request.error);
     }
-    return true;
 }
 
-void Server::onRequest(const SessionPtr& s) {
-    const bool last = s->parser.closesConnection();
-    s->state.first = false;
-    if (s->isReadinessCheck) return sendAnswer(s, reportsReady_ ? 200 : 503, {}, "", last);
-    if (s->decoded.work.nodeRequest->method == "GET" && !s->body.empty())
-        return sendError(s, 400, "a GET with a body");
-    if (!openRequestIds_.insert(s->decoded.id).second)
+void Server::submit(const SessionPtr& s, ReceivedRequest request) {
+    if (!openRequestIds_.insert(request.decoded.id).second)
         return sendError(s, 409, "X-Request-ID is of an open request");
     ++counts_.requests;
-    auto work = std::move(s->decoded.work);
+    s->openId = request.decoded.id;
+    s->openIsLast = request.last;
+    auto work = std::move(request.decoded.work);
     if (work.nodeRequest->method == "PUT") {
         auto nodeRequest = std::make_shared<host::NodeRequest>(*work.nodeRequest);
-        nodeRequest->body = std::make_shared<const std::string>(std::exchange(s->body, {}));
+        nodeRequest->body = chargeBody(memory_, std::exchange(request.body, {}));
         work.nodeRequest = std::move(nodeRequest);
     }
-    work.arrivedMs = s->arrivedAt;
-    // The loop may be delayed between its poll and an attempt; reading what is pending finds out whether the
-    // client has gone meanwhile.
-    work.clientWaiting = [connection = s->connection] {
-        connection->readPending();
-        return connection->open();
+    request.decoded.work.nodeRequest = work.nodeRequest;
+    s->openMemory = request.memory();
+    work.arrivedMs = request.arrivedAt;
+    work.clientWaiting = [this, alive = alive_, weak = std::weak_ptr<Session>(s)] {
+        const auto session = weak.lock();
+        return *alive && session && clientWaiting(session);
     };
     enterPhase(*s, Phase::Open);
     s->hostRequestId = host_.submit(std::move(work), [this, alive = alive_, s](host::Answer a) {
@@ -248,13 +350,14 @@
 }
 
 void Server::onAnswer(const SessionPtr& s, host::Answer a) {
-    openRequestIds_.erase(s->decoded.id);
+    openRequestIds_.erase(s->openId);
     s->hostRequestId.clear();
-    const bool last = s->parser.closesConnection();
+    s->openMemory = 0;
+    s->readsOn = false;
     wire::http::Fields fields;
     switch (a.kind) {
         case host::Answer::Kind::Served:
-            sendAnswer(s, 200, {}, a.body, last);
+            sendAnswer(s, 200, {}, a.body, s->openIsLast);
             break;
         case host::Answer::Kind::Refused:
             if (a.retryAfterMs > 0) {
@@ -262,36 +365,25 @@
                 std::snprintf(seconds, sizeof seconds, "%.3f", a.retryAfterMs / 1000);
                 fields.emplace_back("Retry-After", seconds);
             }
-            sendAnswer(s, 503, std::move(fields), "", last);
+            sendAnswer(s, 503, std::move(fields), "", s->openIsLast);
             break;
         case host::Answer::Kind::Failed:
-            sendAnswer(s, 502, {}, "", last);
+            sendAnswer(s, 502, {}, "", s->openIsLast);
             break;
     }
-    while (s->state.phase != Phase::Open && s->state.phase != Phase::Closing && !s->pipelined.empty()) {
-        const auto [at, bytes] = std::move(s->pipelined.front());
-        s->pipelined.pop_front();
-        s->pipelinedBytes -= bytes.size();
-        pipelinedBytes_ -= bytes.size();
-        s->arrivedAt = s->state.lastByteAt = at;
-        parse(s, bytes);
-    }
-    if (s->flooded && s->pipelined.empty() && s->state.phase != Phase::Open &&
-        s->state.phase != Phase::Closing && s->connection->open())
-        sendError(s, 400, "too much behind an open request", CloseReason::Flood);
+    serveNext(s);
+    retryAdmission(s);
+    if (s->connection->open()) updateMemory(*s);
 }
 
 void Server::sendAnswer(const SessionPtr& s, int status, wire::http::Fields fields, const std::string& body,
                         bool last, CloseReason reason) {
     // A connection that this side wants to close is kept while further requests are waiting on it.
-    const bool more = !s->pipelined.empty() || s->connection->readable();
+    const bool more = !s->reader.queue().empty() || s->reader.inMessage() || s->connection->readable();
     last = last || ((draining_ || capacity() == Capacity::Exhausted) && !more);
     if (last) fields.emplace_back("Connection", "close");
     s->connection->write(wire::http::responseHead(status, fields, body.size()) + body);
     s->connection->flush();
-    s->parser.reset();
-    s->body.clear();
-    s->decoded = {};
     if (last) shutDown(s, reason);
     else enterPhase(*s, Phase::Idle);
 }
@@ -309,29 +401,33 @@
 void Server::shutDown(const SessionPtr& s, CloseReason reason) {
     if (!s->reason) s->reason = reason;
     enterPhase(*s, Phase::Closing);
-    dropPipelined(*s);
+    s->held = {};
+    s->waitsSince = -1;
     if (s->failed) s->connection->resumeReading();
     else s->connection->pauseReading();
     s->connection->shutdownWrite();
 }
 
-// Checks an invariant: this side never closes a connection on which it has read a request without answering.
+// Checks an invariant: this side never closes a connection on which it has read a request without answering,
+// unless the client does not read its answers.
 void Server::checkClose(const Session& s) {
     using invariants::Violation;
-    host_.monitor().check(s.hostRequestId.empty(), Violation::CloseOverOpenRequest, s.decoded.id);
-    host_.monitor().check(s.failed || s.dropped == 0, Violation::CloseOverReadRequest, s.decoded.id);
+    host_.monitor().check(s.hostRequestId.empty(), Violation::CloseOverOpenRequest, s.openId);
+    const bool excused = s.failed || s.reason == CloseReason::FlushTimeout;
+    host_.monitor().check(excused || s.reader.queue().empty(), Violation::CloseOverReadRequest, s.openId);
 }
 
 void Server::onClosed(const SessionPtr& s) {
     const auto reason = s->reason.value_or(CloseReason::ByClient);
     ++counts_.closes[static_cast<std::size_t>(reason)];
     if (s->reason) checkClose(*s);
-    if (onClose_) onClose_(reason, s->hostRequestId.empty() ? std::string() : s->decoded.id);
+    if (onClose_) onClose_(reason, s->hostRequestId.empty() ? std::string() : s->openId);
     if (!s->hostRequestId.empty()) {
-        openRequestIds_.erase(s->decoded.id);
+        openRequestIds_.erase(s->openId);
         host_.abandon(std::exchange(s->hostRequestId, {}));
     }
-    dropPipelined(*s);
+    s->waitsSince = -1;
+    s->memory.release();
     sessions_.erase(s->number);
     listener_->resume();
 }
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -1,10 +1,11 @@
 // The HTTP/1.1 server for the platform's clients. Serves one request at a time per connection: passes it to
-// the host and sends the host's answer back. Single-threaded, never blocks, and never refuses a well-formed
-// request by itself.
+// the host and sends the host's answer back. Single-threaded, never blocks, and refuses a well-formed request
+// by itself only if there is no memory for it (decide_memory.hpp).
 #pragma once
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -13,7 +14,9 @@
 
 #include "fronts/http/decide_connections.hpp"
 #include "fronts/http/decode_request.hpp"
+#include "fronts/http/request_reader.hpp"
 #include "host/host.hpp"
+#include "host/memory_budget.hpp"
 #include "io/connection.hpp"
 #include "io/loop.hpp"
 
@@ -24,20 +27,18 @@
     // Counters for the log; no decision depends on them.
     struct Counts {
         std::uint64_t connections = 0, requests = 0, errors = 0, gaveWay = 0;
+        std::uint64_t memoryWaits = 0, memoryRefusals = 0;  // requests that there was no memory for
         std::array<std::uint64_t, static_cast<std::size_t>(CloseReason::Count)> closes{};
         std::size_t peakConnections = 0;
     };
-    struct Caps {
-        // Of the whole process; the clients' share bounds the connections (splitDescriptors()).
-        std::size_t descriptors = 1024;
-        std::size_t pipelined = 8 << 20;  // bytes waiting behind open requests, over all connections
-    };
     // Called when a connection has ended, with the id of the request that was open on it (may be empty).
     using CloseCallback = std::function<void(CloseReason, const std::string& request)>;
     void onClose(CloseCallback callback) { onClose_ = std::move(callback); }
-    // Throws std::runtime_error if it can't listen. When a new connection exceeds the clients' share of the
-    // descriptors, an existing one is evicted.
-    Server(host::Host& host, const Settings& settings, const io::Address& address, Caps caps);
+    // Throws std::runtime_error if it can't listen. `descriptors`: of the whole process; when a new
+    // connection exceeds the clients' share of them (splitDescriptors()), an existing one is evicted.
+    // `memory` must outlive the host.
+    Server(host::Host& host, const Settings& settings, const io::Address& address, std::size_t descriptors,
+           host::MemoryBudget& memory);
     ~Server();
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
@@ -61,14 +62,24 @@
     using SessionPtr = std::shared_ptr<Session>;
     void onAccepted(std::shared_ptr<io::Connection> connection);
     void onData(const SessionPtr& s, std::string_view bytes);
+    void onDrained(const SessionPtr& s);
     void onClosed(const SessionPtr& s);
-    void bufferPipelined(const SessionPtr& s, std::string_view bytes);
-    void dropPipelined(Session& s);
     // The session's state, brought up to date with its socket.
     const ConnectionState& updateState(Session& s);
-    void parse(const SessionPtr& s, std::string_view bytes);
-    bool onHead(const SessionPtr& s);
-    void onRequest(const SessionPtr& s);
+    void updateMemory(Session& s);
+    void receive(const SessionPtr& s, std::string_view bytes, double arrivedAt);
+    bool admitCurrent(Session& s);
+    void waitForMemory(Session& s, std::string_view rest, double arrivedAt);
+    void addToWaiting(Session& s);
+    void retryAdmission(const SessionPtr& s);
+    void retryAdmissions();
+    void checkPaused();
+    bool clientWaiting(const SessionPtr& s);
+    void clientLeft(const SessionPtr& s);
+    void sendContinue(Session& s);
+    void serveNext(const SessionPtr& s);
+    void dispatch(const SessionPtr& s, ReceivedRequest request);
+    void submit(const SessionPtr& s, ReceivedRequest request);
     void onAnswer(const SessionPtr& s, host::Answer answer);
     void sendAnswer(const SessionPtr& s, int status, wire::http::Fields fields, const std::string& body,
                     bool last, CloseReason reason = CloseReason::LastAnswer);
@@ -84,16 +95,17 @@
 
     host::Host& host_;
     const Settings& settings_;
-    Caps caps_;
-    std::size_t maxConnections_, pipelinedBytes_ = 0;
+    std::size_t descriptors_, maxConnections_;
+    host::MemoryBudget& memory_;
+    std::deque<std::uint64_t> waiting_;  // numbers of sessions that wait for memory, and of ended ones
     std::uint64_t nextSession_ = 0;
     std::unordered_map<std::uint64_t, SessionPtr> sessions_;
     std::unordered_set<std::string> openRequestIds_;
     bool reportsReady_ = false, expectsConnections_ = true, draining_ = false, listening_ = true;
-    std::function<void()> onDrained_;
+    std::function<void()> onEmpty_;
     CloseCallback onClose_;
     Counts counts_;
-    io::Timer sweepTimer_;
+    io::Timer sweepTimer_, admissionTimer_, pausedTimer_;
     std::unique_ptr<io::Listener> listener_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/io/connection.cpp
+++ b/src/io/connection.cpp
@@ -1,5 +1,6 @@
 #include "io/connection.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -13,7 +14,8 @@
 constexpr std::size_t kReadChunkBytes = 256 * 1024, kMaxCoalescedBytes = 16 * 1024;
 constexpr double kAcceptRetryMs = 20;
 constexpr int kMaxAcceptFailures = 4;  // in a row; beyond this the cause is assumed to persist
-constexpr int kMaxReadsPerCall = 4;    // of one connection, so that an endless sender does not block the loop
+// Of one connection in a call of readPending(), so that an endless sender does not block the loop.
+constexpr std::size_t kMaxBytesPerCall = 1024 * 1024;
 constexpr int kMaxEventsPerTurn = 32;  // accepts or datagrams per loop iteration, so that other sources run
 
 struct ErrorHolder {
@@ -129,6 +131,7 @@
     return c;
 }
 
+Connection::Connection(GSocket* socket) : socket_(socket), readChunk_(kReadChunkBytes) {}
 Connection::~Connection() { close(); }
 
 void Connection::watchReadable() {
@@ -159,7 +162,7 @@
     static thread_local char buffer[kReadChunkBytes];
     ErrorHolder error;
     if (!moreUnread_) arrivedNotBeforeMs_ = earliestArrivalMs();
-    const gssize n = g_socket_receive(socket_, buffer, sizeof buffer, nullptr, &error.e);
+    const gssize n = g_socket_receive(socket_, buffer, readChunk_, nullptr, &error.e);
     if (n > 0) {
         moreUnread_ = tracksArrivals_ && readable();
         if (handler_.data) handler_.data({buffer, static_cast<std::size_t>(n)});
@@ -177,7 +180,8 @@
 
 void Connection::readPending() {
     const auto keep = shared_from_this();
-    for (int i = 0; i < kMaxReadsPerCall && readSource_ && readable(); ++i) onReadable(G_IO_IN);
+    const std::size_t reads = kMaxBytesPerCall / readChunk_;
+    for (std::size_t i = 0; i < reads && readSource_ && readable(); ++i) onReadable(G_IO_IN);
 }
 
 bool Connection::onWritable() {
@@ -245,9 +249,19 @@
 }
 
 void Connection::pauseReading() {
+    if (!paused_ && !moreUnread_) {
+        arrivedNotBeforeMs_ = nowMs();
+        moreUnread_ = tracksArrivals_;
+    }
     paused_ = true;
     readSource_.reset();
 }
+void Connection::observeUnread() {
+    if (paused_ && !readable()) arrivedNotBeforeMs_ = nowMs();
+}
+void Connection::setReadChunk(std::size_t bytes) {
+    readChunk_ = std::clamp<std::size_t>(bytes, 1, kReadChunkBytes);
+}
 void Connection::resumeReading() {
     paused_ = false;
     watchReadable();
@@ -259,6 +273,14 @@
     return !socket_ || (g_socket_condition_check(socket_, GIOCondition(G_IO_HUP | G_IO_ERR)) &
                         (G_IO_HUP | G_IO_ERR)) != 0;
 }
+bool Connection::peerEnded() const {
+    if (!socket_) return true;
+    pollfd ended{g_socket_get_fd(socket_), POLLRDHUP, 0};
+    return poll(&ended, 1, 0) > 0 && (ended.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+std::size_t Connection::unreadBytes() const {
+    return socket_ ? static_cast<std::size_t>(std::max<gssize>(0, g_socket_get_available_bytes(socket_))) : 0;
+}
 std::string Connection::remoteHost() const {
     std::string out;
     GSocketAddress* remote = socket_ ? g_socket_get_remote_address(socket_, nullptr) : nullptr;
--- a/src/io/connection.hpp
+++ b/src/io/connection.hpp
@@ -65,8 +65,13 @@
     std::string remoteHost() const;
     // Bytes that the kernel has accepted since the connection was made.
     std::uint64_t bytesSent() const { return bytesSent_; }
+    // What arrives while reading is paused counts as having arrived at the pause (arrivedAtMs()), or at the
+    // latest observeUnread() that found nothing.
     void pauseReading() override;
     void resumeReading() override;
+    void observeUnread();
+    // The most bytes that one call of the handler's `data` gets; at most 256 KiB.
+    void setReadChunk(std::size_t bytes);
     // Reads what is waiting, an end of stream included, and runs the callbacks before it returns. Must not be
     // called from a callback of this connection.
     void readPending();
@@ -75,16 +80,20 @@
     double arrivedAtMs() const;
     // Unread bytes or an end of stream are waiting. Also finds idle connections that the peer has closed.
     bool readable() const;
-    bool hungUp() const;   // both directions have ended, or an error occurred; unread data may remain
-    void shutdownWrite();  // once the queue has been sent
-    void close();          // at once: drops the queue, no callback follows
-    void reset();          // like close(), but sends a TCP RST (SO_LINGER of 0)
+    bool hungUp() const;  // both directions have ended, or an error occurred; unread data may remain
+    // The peer has shut down its side or the connection broke; unread data may remain. Works while reading is
+    // paused, but can't see an end of stream for which the socket's receive buffer has no room.
+    bool peerEnded() const;
+    std::size_t unreadBytes() const;  // in the socket's receive buffer
+    void shutdownWrite();             // once the queue has been sent
+    void close();                     // at once: drops the queue, no callback follows
+    void reset();                     // like close(), but sends a TCP RST (SO_LINGER of 0)
     bool open() const { return socket_ != nullptr; }
     // After dial(): it failed at once for a local reason (no descriptor, port, buffer space or route).
     bool failedLocally() const { return failedLocally_; }
 
   private:
-    explicit Connection(GSocket* socket) : socket_(socket) {}
+    explicit Connection(GSocket* socket);
     void watchReadable();
     void watchWritable();
     bool onReadable(GIOCondition condition);
@@ -95,6 +104,7 @@
     GSocket* socket_;
     Handler handler_;
     EventSource readSource_, writeSource_;
+    std::size_t readChunk_;
     std::deque<std::string> queue_;
     std::size_t queued_ = 0, offset_ = 0;  // bytes in the queue; bytes of its front that have been sent
     std::uint64_t bytesSent_ = 0;
--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -20,7 +20,10 @@
     int interim = 0;       // number of interim responses to the current attempt
     double idleSince = 0;  // valid while idle
     double idledMs = -1;   // before the current attempt; negative: a new connection
-    io::Timer timer;       // of connecting, writing or idling
+    // Read but not parsed, because the body of the response waits for memory.
+    std::string held;
+    bool waits = false;
+    io::Timer timer;  // of connecting, writing or idling
 };
 struct NodeClient::PendingAttempt {
     std::string node;
@@ -31,6 +34,7 @@
     double startedAt = 0;
     LinkPtr link;
     AttemptResult result;
+    host::MemoryBudget::Lease memory;
     double expiresAt = 0;
     io::Timer expiry, deferred;
 };
@@ -40,6 +44,8 @@
 constexpr int kMaxInterimResponses = 16;
 // Most bytes that are allocated ahead: a Content-Length is only what the node claims.
 constexpr std::uint64_t kMaxReserveBytes = 64 * 1024;
+// Read at a time where memory is limited, so that little is read before the budget is asked.
+constexpr std::size_t kReadChunkBytes = 16 * 1024;
 
 double numberField(const wire::http::Head& head, const char* name) {
     const auto* text = head.find(name);
@@ -80,8 +86,16 @@
     return d;
 }
 
-NodeClient::NodeClient(PoolLimits limits, Dialect dialect) : limits_(limits), dialect_(std::move(dialect)) {}
+NodeClient::NodeClient(PoolLimits limits, Dialect dialect, host::MemoryBudget* memory)
+    : limits_(limits), dialect_(std::move(dialect)), memory_(memory) {
+    if (!memory_) return;
+    memory_->onRelease([this, alive = alive_] {
+        if (*alive && !waiting_.empty() && !memoryTimer_.armed())
+            memoryTimer_.arm(0, [this] { retryMemory(); });
+    });
+}
 NodeClient::~NodeClient() {
+    *alive_ = false;
     for (auto& [node, links] : links_)
         for (auto& link : links) link->connection->close();
 }
@@ -105,6 +119,7 @@
     pending->mayBegin = std::move(mayBegin);
     pending->startedAt = io::nowMs();
     pending->expiresAt = pending->startedAt + expireInMs;
+    if (memory_) pending->memory = memory_->acquire(0);
     pending->expiry.arm(expireInMs, [this, id] {
         // HTTP/1.1 can cancel a request only by closing its connection.
         const auto& link = pending_.at(id)->link;
@@ -173,6 +188,7 @@
         pending.deferred.arm(0, [this, id] { end(id, Outcome::NoConnection, false); });
         return;
     }
+    if (memory_) link->connection->setReadChunk(kReadChunkBytes);
     const std::weak_ptr<Link> weak = link;
     const auto with = [this, weak](auto then) {
         if (const auto l = weak.lock()) (this->*then)(l);
@@ -227,6 +243,7 @@
                                 body ? std::optional<std::uint64_t>(request.body->size()) : std::nullopt));
     if (body) link->connection->write(*request.body);
     link->connection->flush();
+    pending.memory.resize(link->connection->queued());  // until the response begins
     if (limits_.writeTimeoutMs <= 0 || link->connection->queued() == 0) return;
     const std::weak_ptr<Link> weak = link;
     link->timer.arm(limits_.writeTimeoutMs, [this, weak, id = link->attempt] {
@@ -261,15 +278,15 @@
                     return end(id, Outcome::ServerError, false);
                 pending.result = dialect_.interpret(head);
                 pending.result.status = head.status;
-                pending.result.body.reserve(
-                    std::min<std::uint64_t>(link->parser.remainingBodyBytes(), kMaxReserveBytes));
+                if (!takeMemory(pending, link->parser.remainingBodyBytes()))
+                    return waitForMemory(link, bytes);
                 break;
             }
             case Result::Body:
+                // The memory of a body without a known length is taken as it comes.
                 if (pending.result.body.size() + body.size() > pending.request->maxResponseBytes ||
-                    buffered_ + body.size() > limits_.maxBufferedBytes)
+                    !takeMemory(pending, pending.result.body.size() + body.size()))
                     return end(id, Outcome::ServerError, false);
-                buffered_ += body.size();
                 pending.result.body += body;
                 break;
             case Result::End: {
@@ -282,6 +299,39 @@
         }
 }
 
+// Takes memory for a response body of that length; false if there is none.
+bool NodeClient::takeMemory(PendingAttempt& pending, std::uint64_t bytes) {
+    const auto held = pending.memory.bytes();
+    if (memory_ && bytes > held && bytes - held > memory_->free()) return false;
+    if (memory_ && bytes > held) pending.memory.resize(bytes);
+    pending.result.body.reserve(std::min<std::uint64_t>(bytes, kMaxReserveBytes));
+    return true;
+}
+
+// For a response whose head was read last; `rest` was received with it.
+void NodeClient::waitForMemory(const LinkPtr& link, std::string_view rest) {
+    link->held = std::string(rest);
+    link->waits = true;
+    link->connection->pauseReading();
+    waiting_.push_back(link);
+    ++memoryWaits_;
+}
+
+// Continues with the responses that wait for memory, in order.
+void NodeClient::retryMemory() {
+    while (!waiting_.empty()) {
+        const auto link = waiting_.front().lock();
+        const auto found = link ? pending_.find(link->attempt) : pending_.end();
+        if (found != pending_.end() && link->waits) {
+            if (!takeMemory(*found->second, link->parser.remainingBodyBytes())) return;
+            link->waits = false;
+            link->connection->resumeReading();
+            onData(link, std::exchange(link->held, {}));
+        }
+        waiting_.pop_front();
+    }
+}
+
 void NodeClient::onClosed(const LinkPtr& link, io::DisconnectReason why) {
     const auto id = link->attempt;
     if (!id) return drop(link, LinkCloseReason::ByNode);
@@ -342,7 +392,6 @@
             });
         }
     }
-    buffered_ -= pending->result.body.size();
     pending->result.outcome = outcome;
     pending->result.durationMs = io::nowMs() - pending->startedAt;
     if (outcome != Outcome::Served) pending->result.body.clear();
--- a/src/nodes/node_client.hpp
+++ b/src/nodes/node_client.hpp
@@ -5,13 +5,16 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "host/memory_budget.hpp"
 #include "host/node_transport.hpp"
 #include "io/connection.hpp"
 #include "nodes/decide_link.hpp"
@@ -45,8 +48,6 @@
     double connectTimeoutMs = 250;
     double writeTimeoutMs = 0;       // for all of a request from its first byte on; 0: none
     std::size_t maxTotal = 1 << 20;  // to all nodes; at the limit the connection idle for longest is closed
-    // Of all incomplete responses together.
-    std::uint64_t maxBufferedBytes = std::uint64_t(1) << 30;
 };
 
 // Why a connection to a node was closed.
@@ -64,7 +65,9 @@
 
 class NodeClient : public host::NodeTransport {
   public:
-    NodeClient(PoolLimits limits, Dialect dialect);
+    // `memory` is charged for responses being received and requests not yet sent; nullptr: no limit. It must
+    // outlive this object. A response that it has no room for waits in its socket.
+    NodeClient(PoolLimits limits, Dialect dialect, host::MemoryBudget* memory = nullptr);
     ~NodeClient() override;
 
     std::uint64_t send(const std::string& node, std::shared_ptr<const host::NodeRequest> request,
@@ -78,6 +81,8 @@
     std::size_t inFlight() const { return pending_.size(); }
     std::size_t connections() const;
     std::uint64_t dials() const { return dials_; }
+    // Number of responses that had to wait for memory.
+    std::uint64_t memoryWaits() const { return memoryWaits_; }
     const std::array<std::uint64_t, static_cast<std::size_t>(LinkCloseReason::Count)>& closes() const {
         return closes_;
     }
@@ -96,14 +101,20 @@
     void onClosed(const LinkPtr& link, io::DisconnectReason why);
     void end(std::uint64_t id, Outcome outcome, bool keepLink);
     void drop(const LinkPtr& link, LinkCloseReason reason);
+    bool takeMemory(PendingAttempt& pending, std::uint64_t bytes);
+    void waitForMemory(const LinkPtr& link, std::string_view rest);
+    void retryMemory();
     bool makeRoom();  // false if every connection is in use
     bool mayHaveRun(const Link& link) const;
 
     PoolLimits limits_;
     Dialect dialect_;
     IdleReusePolicy idleReuse_;
-    std::uint64_t buffered_ = 0;
-    std::uint64_t nextId_ = 0, dials_ = 0;
+    host::MemoryBudget* memory_;
+    std::uint64_t nextId_ = 0, dials_ = 0, memoryWaits_ = 0;
+    std::deque<std::weak_ptr<Link>> waiting_;  // for memory
+    io::Timer memoryTimer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::array<std::uint64_t, static_cast<std::size_t>(LinkCloseReason::Count)> closes_{};
     std::unordered_map<std::uint64_t, std::unique_ptr<PendingAttempt>> pending_;
     std::map<std::string, std::vector<LinkPtr>> links_;  // by node, idle and in use
--- a/src/platform/decide_budget.hpp
+++ b/src/platform/decide_budget.hpp
@@ -5,7 +5,6 @@
 #include <cstddef>
 
 #include "fronts/http/decide_connections.hpp"
-#include "fronts/http/server.hpp"
 #include "nodes/node_client.hpp"
 
 namespace spokewheel::platform {
@@ -13,9 +12,7 @@
 // Bounds of the pool of connections to disk servers. The connections to one server are already bounded by the
 // scheduling module's windows; `maxPerNode` only guards against a fault there. All pools together get their
 // share of the descriptors. Idle connections are closed somewhat before the disk server would close them.
-// Answers being received get a quarter of the memory.
-inline nodes::PoolLimits poolLimits(std::size_t sockets, std::size_t memoryMb, double connIdleMs,
-                                    double dialTimeoutMs) {
+inline nodes::PoolLimits poolLimits(std::size_t sockets, double connIdleMs, double dialTimeoutMs) {
     constexpr std::size_t kMaxPerNode = 64;
     constexpr double kIdleFraction = 0.8;
     // The head of a request states the client's remaining time; the last byte has to follow it within the
@@ -27,13 +24,17 @@
     limits.idleTimeoutMs = kIdleFraction * connIdleMs;
     limits.connectTimeoutMs = dialTimeoutMs;
     limits.writeTimeoutMs = kWriteTimeoutMs;
-    limits.maxBufferedBytes = memoryMb * 1024 * 1024 / 4;
     return limits;
 }
 
-// Bytes pipelined behind open requests get an eighth of the memory.
-inline fronts::http::Server::Caps serverCaps(std::size_t sockets, std::size_t memoryMb) {
-    return {sockets, memoryMb * 1024 * 1024 / 8};
+// The budget for all that grows with requests and their answers (fronts/http/decide_memory.hpp): half of the
+// memory less what each connection takes by itself. The other half is for the program, the node list, what
+// the scheduling module keeps, and fragmentation.
+inline std::size_t requestMemory(std::size_t sockets, std::size_t memoryMb) {
+    constexpr std::size_t kBytesPerDescriptor = 4096;
+    const std::size_t memory = memoryMb * 1024 * 1024;
+    const std::size_t connections = sockets * kBytesPerDescriptor;
+    return std::max(memory / 8, memory / 2 > connections ? memory / 2 - connections : 0);
 }
 
 // How many requests can be open at once; each occupies a connection. `configured`: the limit in the settings,
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -39,16 +39,18 @@
       environment_(std::move(environment)),
       loop_(loop),
       configuration_(readConfiguration(file_, environment_)),
-      log_("", "info", configuration_.name) {
+      log_("", "info", configuration_.name),
+      memory_(requestMemory(configuration_.sockets, configuration_.memoryMb)) {
     const auto& c = configuration_;
     nodes_ =
-        std::make_unique<nodes::NodeClient>(poolLimits(c.sockets, c.memoryMb, c.connIdleMs, c.dialTimeoutMs),
+        std::make_unique<nodes::NodeClient>(poolLimits(c.sockets, c.connIdleMs, c.dialTimeoutMs),
                                             platformDialect(
                                                 [this](const std::string& node, io::Address& out) {
                                                     const auto* address = nodeTable_.address(node);
                                                     return address && io::parseNumericAddress(*address, out);
                                                 },
-                                                true));
+                                                true),
+                                            &memory_);
     host::Host::Dependencies dependencies;
     dependencies.nodes = nodes_.get();
     dependencies.sendToPeers = [this](int to, const std::string& bytes) {
@@ -69,7 +71,7 @@
                        {{"kind", nameOf(violation)}, {"request", request}, {"words", detail}}, io::nowMs());
         });
     server_ = std::make_unique<fronts::http::Server>(*host_, configuration_.schedulerSettings, c.listen,
-                                                     serverCaps(c.sockets, c.memoryMb));
+                                                     c.sockets, memory_);
     if (environment_.trace)
         server_->onClose([this](fronts::http::CloseReason reason, const std::string& request) {
             log_.event(Level::Info, "client_closed", {{"reason", nameOf(reason)}, {"request", request}},
@@ -222,7 +224,7 @@
 }
 
 void PlatformDaemon::reportCounters() {
-    logCounters(log_, {*host_, *server_, *nodes_, *watch_, peers_.get(), host_->monitor().total()});
+    logCounters(log_, {*host_, *server_, *nodes_, *watch_, peers_.get(), memory_, host_->monitor().total()});
     counterTimer_.arm(kCounterLogIntervalMs, [this] { reportCounters(); });
 }
 
--- a/src/platform/platform_daemon.hpp
+++ b/src/platform/platform_daemon.hpp
@@ -7,6 +7,7 @@
 
 #include "fronts/http/server.hpp"
 #include "host/host.hpp"
+#include "host/memory_budget.hpp"
 #include "log/log.hpp"
 #include "nodes/node_client.hpp"
 #include "peers/plain_link.hpp"
@@ -29,6 +30,7 @@
     // as all open requests are answered.
     void stop();
     const invariants::Monitor& monitor() const { return host_->monitor(); }
+    const host::MemoryBudget& memory() const { return memory_; }
 
   private:
     void startWatch();
@@ -49,6 +51,7 @@
     log::Log log_;
     registry::NodeTable nodeTable_;
     double startedAt_ = io::nowMs();
+    host::MemoryBudget memory_;  // of requests and their answers
     std::unique_ptr<nodes::NodeClient> nodes_;
     std::unique_ptr<host::Host> host_;
     std::unique_ptr<peers::PlainLink> peers_;
--- a/src/platform/report.cpp
+++ b/src/platform/report.cpp
@@ -73,6 +73,14 @@
               now);
     log.event(Level::Info, "pulse_closes",
               {{"client_closes", countsByName<fronts::http::CloseReason>(server.closes)}}, now);
+    log.event(Level::Info, "pulse_memory",
+              {{"used", text(sources.memory.used())},
+               {"most", text(sources.memory.peak())},
+               {"budget", text(sources.memory.capacity())},
+               {"waits", text(server.memoryWaits)},
+               {"refused", text(server.memoryRefusals)},
+               {"answer_waits", text(sources.nodes.memoryWaits())}},
+              now);
     log.event(Level::Info, "pulse_links",
               {{"node_closes", countsByName<nodes::LinkCloseReason>(sources.nodes.closes())}}, now);
     log.event(Level::Info, "pulse_watch",
--- a/src/platform/report.hpp
+++ b/src/platform/report.hpp
@@ -4,6 +4,7 @@
 
 #include "fronts/http/server.hpp"
 #include "host/host.hpp"
+#include "host/memory_budget.hpp"
 #include "log/log.hpp"
 #include "nodes/node_client.hpp"
 #include "peers/plain_link.hpp"
@@ -21,12 +22,14 @@
     const nodes::NodeClient& nodes;
     const registry::EndpointWatcher& watch;
     const peers::PlainLink* peers;
+    const host::MemoryBudget& memory;
     std::size_t violations;
 };
 
 // Logs the events `pulse` (requests), `pulse_ends` (why requests and attempts ended), `pulse_closes` (why
-// client connections ended), `pulse_links` (why node connections ended), `pulse_watch` (faults of the node
-// list watch) and `pulse_work` (errors, scheduler steps, connections, peer messages).
+// client connections ended), `pulse_memory` (the memory of requests and answers, in bytes), `pulse_links`
+// (why node connections ended), `pulse_watch` (faults of the node list watch) and `pulse_work` (errors,
+// scheduler steps, connections, peer messages).
 void logCounters(log::Log& log, const CounterSources& sources);
 
 // Logs the event `limit_account`: what this host holds of one volume's limit, in units.
--- a/src/wire/http/message.hpp
+++ b/src/wire/http/message.hpp
@@ -55,6 +55,8 @@
     Result onEndOfStream();
     // Bytes of the body still to come, if it has a Content-Length.
     std::uint64_t remainingBodyBytes() const { return bodyBytesLeft_; }
+    // Size of the start line and fields received so far, trailers included.
+    std::size_t headBytes() const { return headBytes_; }
     bool atMessageStart() const { return state_ == State::StartLine && line_.empty(); }
     // Whether the connection closes after this message, by its version, framing and Connection field.
     bool closesConnection() const { return closesConnection_; }
--- a/tests/gateway/platform_support.hpp
+++ b/tests/gateway/platform_support.hpp
@@ -179,7 +179,8 @@
     std::string configuration(const std::string& discoveryAt) const {
         return R"({"name":"n0","listen":"127.0.0.1:)" + std::to_string(port) + R"(","discovery":")" +
                discoveryAt + R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" + std::to_string(sockets) +
-               R"(},"known":)" + known + R"(,"settings":)" + settings + "}";
+               R"(,"memory_mb":)" + std::to_string(memoryMb) + R"(},"known":)" + known + R"(,"settings":)" +
+               settings + "}";
     }
     void write(const std::string& text) const { std::ofstream(file) << text; }
     void startDaemon() {
@@ -201,7 +202,7 @@
     std::unique_ptr<Client> client() { return std::make_unique<Client>(port); }
 
     std::string file = ::testing::TempDir() + "platform-" + std::to_string(::getpid()) + ".json";
-    int port = 0, sockets = 256;
+    int port = 0, sockets = 256, memoryMb = 192;
     std::string known;
     std::string settings = R"({"classes":[
         {"name":"read","effect":"repeatable","deadline-ms":2500.0,"on-time-ms":500.0,"points":2.0},
