Each process tells what its agent reports to witnesses, which a start has to ask

Cause: what this machine's agent has counts as told, but a start asked any peers, and nothing made sure that they know as much as the process before it (StartupNodeList::applyConfirmed, Confirmation::confirmedNodes). A peer's last contact does not show that all changes had come.

Change: drains, removals and new starts that the own agent reports go at once, and again after 50 ms, to eight peers spread over the fleet. These hold to them until their own agent says otherwise. A start asks them first and uses nothing without a whole answer of one; what one of them does not name is not used. A process whose agent has not spoken answers nobody.

Without the need for a witness Confirmation.NothingIsConfirmedWithoutAWitness fails.

--- a/fuzz/peer_fuzz.cpp
+++ b/fuzz/peer_fuzz.cpp
@@ -26,6 +26,10 @@
         const auto packed = wire::peer::packMembership(*part, part->members);
         if (packed.size() != 1 || (part->parts == 1 && packed[0] != text)) std::abort();
     }
+    if (const auto nodes = wire::peer::readNotice(text)) {
+        const auto packed = wire::peer::packNotices(*nodes);
+        if (packed.size() != 1 || wire::peer::readNotice(packed[0])->size() != nodes->size()) std::abort();
+    }
     if (const auto version = catalogue::decode(text))
         if (const auto decoded = catalogue::decode(catalogue::encode(*version));
             !decoded || decoded->path != version->path)
--- a/src/platform/decide_start.hpp
+++ b/src/platform/decide_start.hpp
@@ -12,6 +12,11 @@
 // The agent is on the same machine and answers at once; after this long without an answer it is down or slow.
 constexpr double kAskPeersAfterMs = 300;
 
+// Changes are told to witnesses at once, and again, because datagrams get lost; while they follow one
+// another, no more often than this.
+constexpr double kNoticeIntervalMs = 50;
+constexpr int kNoticeRepeats = 2;
+
 // Nine out of ten restarted schedulers must be ready within 10 s, or within 6 s if the run ends sooner. Until
 // this one is ready, its clients may find another scheduler.
 constexpr double kReadyDeadlineMs = 5000;
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -97,10 +97,15 @@
     if (c.schedulerSettings.maySendToPeers && c.peerListen.port > 0) {
         peers_ = std::make_unique<peers::PlainLink>(c.schedulerSettings.rank, c.peerListen, c.peers,
                                                     c.peersAll, [this](int from, std::string bytes) {
-                                                        if (!startupList_->onPeerMessage(from, bytes))
+                                                        if (const auto notice = wire::peer::readNotice(bytes))
+                                                            onNotice(*notice);
+                                                        else if (!startupList_->onPeerMessage(from, bytes))
                                                             host_->onPeerMessage(from, std::move(bytes));
                                                     });
         callbacks.sendToPeer = [this](int rank, const std::string& bytes) { peers_->send(rank, bytes); };
+        announcer_ = std::make_unique<ChangeAnnouncer>(
+            registry::witnessesOf(c.schedulerSettings.rank, static_cast<int>(c.peers.size())),
+            callbacks.sendToPeer);
     }
     startupList_ =
         std::make_unique<StartupNodeList>(configuration_.known, nodeTable_, static_cast<int>(c.peers.size()),
@@ -169,6 +174,17 @@
                    io::nowMs());
     auto change = nodeTable_.apply(std::move(list), form, {io::nowMs(), io::wallMs()});
     if (!change.applied) return;
+    if (announcer_) announcer_->announce(change.news);
+    passOn(std::move(change));
+}
+
+// A peer's list service has reported changes that this one may not have reported yet.
+void PlatformDaemon::onNotice(const std::vector<wire::peer::ChangedNode>& nodes) {
+    auto change = nodeTable_.applyNotice(nodes, {io::nowMs(), io::wallMs()});
+    if (change.applied) passOn(std::move(change));
+}
+
+void PlatformDaemon::passOn(registry::NodeTable::Change change) {
     // The scheduling module is updated first, so that it decides on attempts to retired nodes with the new
     // list.
     host_->onList(std::move(change.update));
--- a/src/platform/platform_daemon.hpp
+++ b/src/platform/platform_daemon.hpp
@@ -11,6 +11,7 @@
 #include "log/log.hpp"
 #include "nodes/node_client.hpp"
 #include "peers/plain_link.hpp"
+#include "platform/change_announcer.hpp"
 #include "platform/configuration.hpp"
 #include "platform/startup_node_list.hpp"
 #include "registry/endpoint_watcher.hpp"
@@ -40,6 +41,8 @@
     void becomeReady(const char* why);
     void applyConfiguredList();
     void onEndpoints(registry::Endpoints list, ListForm form);
+    void onNotice(const std::vector<wire::peer::ChangedNode>& nodes);
+    void passOn(registry::NodeTable::Change change);
     void tryReload();
     void drain();
     void reportCounters();
@@ -55,6 +58,7 @@
     std::unique_ptr<nodes::NodeClient> nodes_;
     std::unique_ptr<host::Host> host_;
     std::unique_ptr<peers::PlainLink> peers_;
+    std::unique_ptr<ChangeAnnouncer> announcer_;  // null without messages to peers
     std::unique_ptr<StartupNodeList> startupList_;
     std::unique_ptr<registry::EndpointWatcher> watch_;
     io::Timer readyTimer_, counterTimer_, closeTimer_, listenTimer_, reloadTimer_;
--- a/src/platform/startup_node_list.cpp
+++ b/src/platform/startup_node_list.cpp
@@ -42,7 +42,8 @@
     return part.has_value();
 }
 
-// A process that knows only its own configuration does not answer.
+// Only a process whose own list service has answered does: it has taken into account what it was told of
+// changes since, and another may have forgotten it at its start.
 void StartupNodeList::answerQuery(int to, const peer::MembershipQuery& query) {
     if (!lastListContactAt_ || !callbacks_.sendToPeer) return;
     const double now = io::nowMs();
@@ -73,7 +74,6 @@
     askTimer_.cancel();
     if (agentAnswered_ || (std::exchange(applied_, true) && nodes.startedAt == appliedStarts_)) return;
     appliedStarts_ = nodes.startedAt;
-    lastListContactAt_ = nodes.lastContactAt;
     registry::Endpoints list;
     list.revision = known_.revision;
     list.complete = true;
--- a/src/platform/startup_node_list.hpp
+++ b/src/platform/startup_node_list.hpp
@@ -49,7 +49,7 @@
     registry::Confirmation confirmation_;
     std::uint32_t nonce_;
     bool agentAnswered_ = false;
-    // When the list service last answered this process or, if its list comes from peers, those peers.
+    // When the list service last answered this process.
     std::optional<double> lastListContactAt_;
     std::map<std::uint64_t, double> appliedStarts_;
     bool applied_ = false;
--- a/src/registry/decide_confirmation.hpp
+++ b/src/registry/decide_confirmation.hpp
@@ -21,6 +21,16 @@
 
 namespace spokewheel::registry {
 
+// The ranks of the peers to which the process of rank `rank` tells changes, spread over all `peers`. Enough
+// of them that one is left when most processes are killed at once.
+inline std::vector<int> witnessesOf(int rank, int peers) {
+    constexpr int kWitnesses = 8;
+    const int stride = std::max(1, (peers - 1) / kWitnesses);
+    std::vector<int> out;
+    for (int k = 1; k <= std::min(kWitnesses, peers - 1); ++k) out.push_back((rank + k * stride) % peers);
+    return out;
+}
+
 // The nodes that peers have confirmed so far, keyed by the digest of the node id.
 struct ConfirmedNodes {
     std::map<std::uint64_t, double> startedAt;  // on the local monotonic clock; 0: long ago
@@ -30,15 +40,20 @@
 class Confirmation {
   public:
     Confirmation(int peers, int ownRank, std::uint64_t seed)
-        : peers_(peers), ownRank_(ownRank), random_(seed) {}
+        : peers_(peers), ownRank_(ownRank), random_(seed), witnesses_(witnessesOf(ownRank, peers)) {}
 
     // Returns the ranks of the peers to query now. Up to half of them are peers whose answer is incomplete,
-    // because one of its datagrams was lost. The others are drawn at random each time, since most of the
-    // fleet may have been restarted too and have no answer to give.
+    // because one of its datagrams was lost. Then come witnesses without an answer, in turn, and the last
+    // ones are drawn at random each time, since most of the fleet may have been restarted too and have no
+    // answer to give.
     std::vector<int> peersToQuery() {
         std::vector<int> out;
         for (const auto& [rank, answer] : answers_)
             if (!answer.complete() && out.size() < kQueriesPerRound / 2) out.push_back(rank);
+        for (std::size_t i = 0; i < witnesses_.size() && out.size() + 1 < kQueriesPerRound; ++i) {
+            const int rank = witnesses_[nextWitness_++ % witnesses_.size()];
+            if (!answers_.count(rank) && !contains(out, rank)) out.push_back(rank);
+        }
         const std::size_t others = peers_ > 1 ? static_cast<std::size_t>(peers_ - 1) : 0;
         for (std::size_t draw = 0; draw < 4 * kQueriesPerRound; ++draw) {
             if (out.size() >= std::min(kQueriesPerRound, others)) break;
@@ -67,19 +82,19 @@
         for (const auto& member : part.members)
             answer.startedAt[member.idDigest] =
                 member.ageMs >= wire::peer::kMaxAgeMs ? 0 : nowMs - member.ageMs;
-        if (answer.complete() && firstCompleteAt_ < 0) firstCompleteAt_ = nowMs;
+        if (answer.complete() && contains(witnesses_, from) && firstWitnessAt_ < 0) firstWitnessAt_ = nowMs;
         return true;
     }
-    // Time to wait for further answers until confirmedNodes() returns a result; negative while no answer is
-    // complete.
+    // Time to wait for further answers until confirmedNodes() returns a result; negative while no witness has
+    // answered completely.
     double remainingWaitMs(double nowMs) const {
-        if (firstCompleteAt_ < 0) return -1;
+        if (firstWitnessAt_ < 0) return -1;
         return completeAnswers() >= kSufficientAnswers ? 0
-                                                       : std::max(0.0, firstCompleteAt_ + kCollectMs - nowMs);
+                                                       : std::max(0.0, firstWitnessAt_ + kCollectMs - nowMs);
     }
     // Returns the nodes that all complete answers name; nullopt while remainingWaitMs() is not 0. Answers of
-    // peers whose contact with the list service is more than kMaxLagMs older than the latest one are ignored:
-    // the watch of such a peer broke earlier, so its list may be out of date.
+    // other peers than witnesses whose contact with the list service is more than kMaxLagMs older than the
+    // latest one are ignored: the watch of such a peer broke earlier, so its list may be out of date.
     std::optional<ConfirmedNodes> confirmedNodes(double nowMs) const {
         if (remainingWaitMs(nowMs) != 0) return std::nullopt;
         double latest = -1e18;
@@ -88,7 +103,8 @@
         ConfirmedNodes out;
         bool first = true;
         for (const auto& [rank, answer] : answers_) {
-            if (!answer.complete() || answer.lastContactAt < latest - kMaxLagMs) continue;
+            const bool lags = answer.lastContactAt < latest - kMaxLagMs;
+            if (!answer.complete() || (lags && !contains(witnesses_, rank))) continue;
             if (first) out = {answer.startedAt, answer.lastContactAt};
             else intersect(out, answer);
             first = false;
@@ -139,8 +155,10 @@
 
     int peers_, ownRank_, rounds_ = 0;
     std::mt19937_64 random_;
+    std::vector<int> witnesses_;
+    std::size_t nextWitness_ = 0;
     std::map<int, Answer> answers_;
-    double firstCompleteAt_ = -1;
+    double firstWitnessAt_ = -1;
 };
 
 }  // namespace spokewheel::registry
--- a/src/wire/peer/membership.cpp
+++ b/src/wire/peer/membership.cpp
@@ -1,16 +1,22 @@
 #include "wire/peer/membership.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace spokewheel::wire::peer {
 namespace {
 
-constexpr char kQueryKind = 5, kAnswerKind = 6;
+constexpr char kQueryKind = 5, kAnswerKind = 6, kNoticeKind = 8;
 constexpr std::size_t kKindBytes = 1, kNonceBytes = 4, kVersionBytes = 4, kCountBytes = 2, kAgeBytes = 2,
                       kIdDigestBytes = 5;
 constexpr std::size_t kQueryBytes = kKindBytes + kNonceBytes;
 constexpr std::size_t kAnswerHeaderBytes = kQueryBytes + kVersionBytes + 2 * kCountBytes + kAgeBytes;
 constexpr std::size_t kMemberBytes = kIdDigestBytes + kAgeBytes;
+constexpr std::size_t kRevisionBytes = 8, kRevisionOffsetBytes = 2;
+constexpr std::size_t kNoticeHeaderBytes = kKindBytes + kRevisionBytes;
+constexpr std::size_t kChangeBytes = kIdDigestBytes + kAgeBytes + kRevisionOffsetBytes;
+constexpr std::size_t kMaxChangesPerNotice = (kMaxMembershipBytes - kNoticeHeaderBytes) / kChangeBytes;
+constexpr std::int64_t kMaxRevisionOffset = 65535;
 constexpr std::uint64_t kMaxAgeUnits = 65535;
 static_assert(kAnswerHeaderBytes + kMaxMembersPerPart * kMemberBytes <= kMaxMembershipBytes);
 
@@ -94,4 +100,46 @@
     return part;
 }
 
+std::vector<std::string> packNotices(const std::vector<ChangedNode>& nodes) {
+    std::vector<std::string> out;
+    for (std::size_t first = 0; first < nodes.size(); first += kMaxChangesPerNotice) {
+        const std::size_t end = std::min(nodes.size(), first + kMaxChangesPerNotice);
+        std::int64_t latest = 0;
+        for (std::size_t i = first; i < end; ++i) latest = std::max(latest, nodes[i].revision);
+        std::string bytes(1, kNoticeKind);
+        put(bytes, static_cast<std::uint64_t>(latest), kRevisionBytes);
+        for (std::size_t i = first; i < end; ++i) {
+            const auto& node = nodes[i];
+            put(bytes, node.idDigest, kIdDigestBytes);
+            put(bytes, node.usable ? std::min(ageUnitsOf(node.ageMs), kMaxAgeUnits - 1) : kMaxAgeUnits,
+                kAgeBytes);
+            put(bytes, static_cast<std::uint64_t>(std::min(latest - node.revision, kMaxRevisionOffset)),
+                kRevisionOffsetBytes);
+        }
+        out.push_back(std::move(bytes));
+    }
+    return out;
+}
+
+std::optional<std::vector<ChangedNode>> readNotice(std::string_view bytes) {
+    if (bytes.size() <= kNoticeHeaderBytes || bytes.size() > kMaxMembershipBytes ||
+        bytes.front() != kNoticeKind || (bytes.size() - kNoticeHeaderBytes) % kChangeBytes != 0)
+        return std::nullopt;
+    bytes.remove_prefix(kKindBytes);
+    const auto latest = take(bytes, kRevisionBytes);
+    if (latest > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max())) return std::nullopt;
+    std::vector<ChangedNode> out;
+    while (!bytes.empty()) {
+        ChangedNode node;
+        node.idDigest = take(bytes, kIdDigestBytes);
+        const auto age = take(bytes, kAgeBytes);
+        node.usable = age < kMaxAgeUnits;
+        node.ageMs = node.usable ? ageMsOf(age) : 0;
+        node.revision =
+            static_cast<std::int64_t>(latest) - static_cast<std::int64_t>(take(bytes, kRevisionOffsetBytes));
+        out.push_back(node);
+    }
+    return out;
+}
+
 }  // namespace spokewheel::wire::peer
--- a/src/wire/peer/membership.hpp
+++ b/src/wire/peer/membership.hpp
@@ -4,8 +4,10 @@
 //
 // Figures are big-endian. Query: kind (1 byte), nonce (4). Answer: kind (1), nonce (4), version of the
 // sender's list (4), part (2), parts (2), time since the sender last heard from its list service in 100 ms
-// (2), then 7 bytes per node: digest of its id (5) and its age in 100 ms (2; 65535: that or more). The kinds
-// continue those of the scheduler's messages (policy/peer_messages.cpp), which ignores unknown ones.
+// (2), then 7 bytes per node: digest of its id (5) and its age in 100 ms (2; 65535: that or more). Notice:
+// kind (1), revision (8), then 9 bytes per node: digest (5), age since its start (2; 65535: not usable any
+// more), and by how much the revision of its change is lower (2). The kinds continue those of the scheduler's
+// messages (policy/peer_messages.cpp), which ignores unknown ones.
 #pragma once
 
 #include <cstddef>
@@ -40,6 +42,14 @@
     std::vector<Member> members;
 };
 
+// A change of the node list that the sender's list service has reported.
+struct ChangedNode {
+    std::uint64_t idDigest = 0;
+    std::int64_t revision = 0;  // of the list that has it
+    bool usable = false;        // false: draining or removed; true: started anew
+    double ageMs = 0;           // of a usable node, since its start
+};
+
 // A 40-bit hash of a node's id, the same on every machine.
 std::uint64_t idDigest(std::string_view id);
 
@@ -47,8 +57,11 @@
 // Encodes all parts of one answer; `head` provides nonce, version and age of the last contact. Ages are
 // rounded down, so that a node never appears older than it is.
 std::vector<std::string> packMembership(const MembershipPart& head, const std::vector<Member>& members);
+// Encodes changes in as many datagrams as they need.
+std::vector<std::string> packNotices(const std::vector<ChangedNode>& nodes);
 // Decode untrusted bytes; nothing if they are not a complete message of this kind within its bounds.
 std::optional<MembershipQuery> readMembershipQuery(std::string_view bytes);
 std::optional<MembershipPart> readMembershipPart(std::string_view bytes);
+std::optional<std::vector<ChangedNode>> readNotice(std::string_view bytes);
 
 }  // namespace spokewheel::wire::peer
--- a/tests/gateway/confirmation_test.cpp
+++ b/tests/gateway/confirmation_test.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "registry/decide_confirmation.hpp"
+#include "registry/node_table.hpp"
 #include "wire/peer/membership.hpp"
 
 namespace spokewheel::registry {
@@ -182,5 +183,104 @@
     EXPECT_EQ(nodes->startedAt.at(idDigest("b")), 0);
 }
 
+// Guards against the word of peers that were never told what this process's list service had reported.
+TEST(Confirmation, NothingIsConfirmedWithoutAWitness) {
+    constexpr int kFleet = 100;
+    const auto witnesses = witnessesOf(kOwnRank, kFleet);
+    EXPECT_EQ(std::set<int>(witnesses.begin(), witnesses.end()).size(), 8u);
+    for (const int rank : witnesses) EXPECT_TRUE(rank >= 0 && rank < kFleet && rank != kOwnRank);
+    Confirmation confirmation(kFleet, kOwnRank, 1);
+    std::set<int> asked;
+    for (int round = 0; round < 3; ++round)
+        for (const int rank : confirmation.peersToQuery()) asked.insert(rank);
+    for (const int rank : witnesses) EXPECT_TRUE(asked.count(rank)) << rank;
+    for (const int rank : {1, 2, 4, 5}) confirmation.addPart(rank, whole(members({"a", "b"}), 100), kNow);
+    EXPECT_FALSE(confirmation.confirmedNodes(kNow + 1000));
+    // However old its last contact is, what a witness does not name is not confirmed.
+    confirmation.addPart(witnesses[3], whole(members({"a"}), 60000), kNow + 1000);
+    EXPECT_EQ(namesOf(*confirmation.confirmedNodes(kNow + 1000)), digests({"a"}));
+    EXPECT_EQ(witnessesOf(1, 3), (std::vector<int>{2, 0}));
+    EXPECT_TRUE(witnessesOf(0, 1).empty());
+}
+
+TEST(Notice, AnyNumberOfChangesComesInDatagramsOfThePlatformsSize) {
+    std::vector<wire::peer::ChangedNode> nodes;
+    for (int i = 0; i < 100; ++i)
+        nodes.push_back({idDigest("s-" + std::to_string(i)), 1000 + i, i % 2 == 0, i % 2 == 0 ? 300.0 : 0});
+    std::vector<wire::peer::ChangedNode> read;
+    for (const auto& bytes : wire::peer::packNotices(nodes)) {
+        ASSERT_LE(bytes.size(), wire::peer::kMaxMembershipBytes);
+        for (std::size_t size = 0; size < bytes.size(); ++size) {
+            const auto cut = wire::peer::readNotice(bytes.substr(0, size));
+            EXPECT_EQ(cut.has_value(), size > 9 && (size - 9) % 9 == 0);
+        }
+        const auto part = *wire::peer::readNotice(bytes);
+        read.insert(read.end(), part.begin(), part.end());
+    }
+    ASSERT_EQ(read.size(), nodes.size());
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        EXPECT_EQ(read[i].idDigest, nodes[i].idDigest);
+        EXPECT_EQ(read[i].revision, nodes[i].revision);
+        EXPECT_EQ(read[i].usable, nodes[i].usable);
+        EXPECT_EQ(read[i].ageMs, nodes[i].ageMs);
+    }
+}
+
+// What a peer's list service reported first.
+class NoticeTable : public ::testing::Test {
+  protected:
+    NodeTable::Change apply(std::int64_t revision, Lifecycle lifecycle, double startedMs, double nowMs,
+                            ListForm form = ListForm::Delta) {
+        Endpoints list;
+        list.revision = revision;
+        list.complete = form != ListForm::Delta;
+        list.entries.push_back({"a", "zone", lifecycle, 4, 1, startedMs});
+        list.addresses["a"] = "127.0.0.1:1";
+        return table.apply(std::move(list), form, {nowMs, nowMs});
+    }
+    NodeTable::Change notice(std::int64_t revision, bool usable, double nowMs) {
+        return table.applyNotice({{idDigest("a"), revision, usable, 500}}, {nowMs, nowMs});
+    }
+    void SetUp() override { apply(41, Lifecycle::Ready, 0, kNow, ListForm::Full); }
+    NodeTable table;
+};
+
+TEST_F(NoticeTable, WithdrawsANodeUntilTheOwnListServiceSaysOtherwise) {
+    const auto change = notice(45, false, kNow + 10);
+    ASSERT_TRUE(change.applied);
+    EXPECT_EQ(change.update.entries.at(0).lifecycle, Lifecycle::Draining);
+    EXPECT_EQ(change.update.entries.at(0).shard, 4);
+    EXPECT_TRUE(table.usableNodes().empty());
+    EXPECT_FALSE(notice(45, false, kNow + 20).applied);
+    // An older list does not bring it back, as this list service reports later; after a while it does.
+    EXPECT_EQ(apply(43, Lifecycle::Ready, 0, kNow + 200).update.entries.at(0).lifecycle, Lifecycle::Draining);
+    EXPECT_EQ(apply(44, Lifecycle::Ready, 0, kNow + 7000).update.entries.at(0).lifecycle, Lifecycle::Ready);
+}
+
+TEST_F(NoticeTable, IsPassedOverOnceTheOwnListServiceHasReportedAsMuch) {
+    apply(45, Lifecycle::Ready, 0, kNow + 5);
+    EXPECT_FALSE(notice(45, false, kNow + 10).applied);
+    EXPECT_EQ(table.usableNodes().size(), 1u);
+}
+
+TEST_F(NoticeTable, AStartIsToldToWhoAsks) {
+    notice(45, true, kNow + 1000);
+    EXPECT_EQ(table.usableNodes().at(0).second, kNow + 500);
+}
+
+// What is told to witnesses: each change once, when the own list service reports it, also if a peer was
+// first.
+TEST_F(NoticeTable, NewsAreWhatTheOwnListServiceReports) {
+    notice(45, false, kNow + 10);
+    const auto change = apply(45, Lifecycle::Draining, 0, kNow + 100);
+    ASSERT_EQ(change.news.size(), 1u);
+    EXPECT_FALSE(change.news[0].usable);
+    EXPECT_EQ(change.news[0].revision, 45);
+    EXPECT_TRUE(apply(46, Lifecycle::Draining, 0, kNow + 200).news.empty());
+    const auto again = apply(47, Lifecycle::Ready, kNow + 250, kNow + 300);
+    ASSERT_EQ(again.news.size(), 1u);
+    EXPECT_TRUE(again.news[0].usable);
+}
+
 }  // namespace
 }  // namespace spokewheel::registry
--- a/tests/gateway/soak_start_test.cpp
+++ b/tests/gateway/soak_start_test.cpp
@@ -79,9 +79,11 @@
         announce(*servers.back(), "up");
     }
     void announce(const DiskServer& server, const std::string& phase) {
-        for (int i = 0; i < options.schedulers; ++i)
-            agents[static_cast<std::size_t>(i)]->updateMember(
-                {server.identity().id, "a", phase, server.identity().cell, server.portFor(i), 0, 0});
+        for (int i = 0; i < options.schedulers; ++i) announceTo(i, server, phase);
+    }
+    void announceTo(int scheduler, const DiskServer& server, const std::string& phase) {
+        agents[static_cast<std::size_t>(scheduler)]->updateMember(
+            {server.identity().id, "a", phase, server.identity().cell, server.portFor(scheduler), 0, 0});
     }
     void start(std::size_t i, const std::string& nodeList = {}) {
         processes[i]->writeConfiguration(agents[i]->port(),
@@ -194,6 +196,46 @@
     endOutageAndCheck();
 }
 
+// A server drains, one agent reports it, discovery goes down before the others do, and that agent's process
+// is killed and restarted. The fault: its next process took the word of peers, which had never heard of the
+// drain, and sent to the server for as long as the outage lasted (review/3, and soak_short_8).
+TEST_F(StartFleet, ADrainThatOnlyTheKilledProcessHadHeardOfBindsItsNext) {
+    startFleet(3, true);
+    const auto oldNodeList = agents[0]->fullListJson(0);
+    recordState(EventKind::CellState, 0, false);
+    servers[0]->setDraining(true);
+    announceTo(0, *servers[0], "draining");
+    runFor(200);
+    setDiscoveryDown(true);
+    runFor(100);
+    processes[0]->kill();
+    runFor(1600);
+    start(0, oldNodeList);
+    const double started = reactor.now();
+    runFor(7000);
+    EXPECT_GT(served(0, started), 10u);  // from the server that stays up
+    for (int i = 1; i < 3; ++i) announceTo(i, *servers[0], "draining");
+    endOutageAndCheck();
+}
+
+// A watch falls silent, a server drains, and discovery goes down before the silence can be noticed. The
+// fault: its process never heard of the drain, which counts as told 6 s after the silence began (soak, seed
+// 30).
+TEST_F(StartFleet, ADrainBehindASilentWatchIsHeardOfFromPeers) {
+    startFleet(3, true);
+    recordState(EventKind::CellState, 0, false);
+    agents[0]->silenceWatches();
+    runFor(100);
+    servers[0]->setDraining(true);
+    announce(*servers[0], "draining");
+    runFor(300);
+    setDiscoveryDown(true);
+    const double outage = reactor.now();
+    runFor(11000);
+    EXPECT_GT(served(0, outage + 1000), 10u);
+    endOutageAndCheck();
+}
+
 // All schedulers are killed at once: no peer knows the current state, so none sends before discovery is back.
 TEST_F(StartFleet, AFleetThatIsKilledWholeSendsNothingBeforeAWord) {
     startFleet(4, true);
