An upload that waits for memory does not give way to a new connection

At the connection limit one without an open request gives way. An upload whose body waits in the socket for memory, or a request that waits for its client to read earlier answers, has been read: closing its connection would lose it. Such a connection is passed over now; where all have requests to be answered, who comes waits in the system's queue as before.

MemoryTest.AnUploadThatWaitsForMemoryDoesNotGiveWayToANewConnection fails without it.

--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -29,6 +29,8 @@
     bool failed = false;                // ended by an error response: later bytes need no answer
     std::optional<CloseReason> reason;  // set once this side has begun to close the connection
     bool waits() const { return waitsSince >= 0; }
+    // Requests of it have been read, and none of them is open.
+    bool owesAnswers() const { return waits() || !reader.queue().empty(); }
 };
 
 namespace {
@@ -104,8 +106,7 @@
 
 const ConnectionState& Server::updateState(Session& s) {
     auto& state = s.state;
-    const bool unanswered = !s.reader.queue().empty() || s.waits();
-    state.unread = state.phase != Phase::Open && (unanswered || s.connection->readable());
+    state.unread = state.phase != Phase::Open && (s.owesAnswers() || s.connection->readable());
     state.unsent = s.connection->queued() > 0;
     state.hungUp = state.phase == Phase::Closing && s.connection->hungUp();
     if (state.phase == Phase::Closing && state.flushedAt < 0 && s.connection->queued() == 0)
@@ -114,11 +115,12 @@
 }
 
 // Called at the connection limit only, so a scan over all connections is cheap enough. If every connection
-// has an open request, new ones wait in the kernel's backlog until one ends.
+// has a request to be answered, new ones wait in the kernel's backlog until one ends.
 void Server::evictConnection() {
     SessionPtr victim;
     for (const auto& [number, s] : sessions_)
-        if (s->state.phase != Phase::Open && (!victim || evictedBefore(updateState(*s), victim->state)))
+        if (s->state.phase != Phase::Open && !s->owesAnswers() &&
+            (!victim || evictedBefore(updateState(*s), victim->state)))
             victim = s;
     if (!victim) return listener_->pause();
     ++counts_.gaveWay;
--- a/tests/gateway/platform_memory_test.cpp
+++ b/tests/gateway/platform_memory_test.cpp
@@ -151,6 +151,24 @@
     EXPECT_EQ(attempts("refused"), 0u);
 }
 
+// Guards against an upload that waits for memory and whose connection gives way to a new one: it would have
+// been read and never answered.
+TEST_F(MemoryTest, AnUploadThatWaitsForMemoryDoesNotGiveWayToANewConnection) {
+    startUntilReady();
+    fillMemory();
+    const auto waits = std::make_unique<Client>(port);
+    waits->send(upload("waits", 64 * 1024));
+    runLoopFor(50);
+    std::vector<std::unique_ptr<Client>> others;
+    for (int i = 0; i < 60; ++i) {
+        others.push_back(client());
+        others.back()->send(upload("other-" + std::to_string(i), 100, "60000", 1));
+        runLoopFor(2);
+    }
+    ASSERT_TRUE(runLoopUntil([&] { return waits->answered() || waits->closed; }, 1000));
+    EXPECT_EQ(waits->status(), 503);
+}
+
 // Guards against answers that clients do not read and that are in no account: they stay within the budget,
 // what it has no room for waits at the disk servers, and each client gets its answer once it reads.
 TEST_F(MemoryTest, AnswersThatNobodyReadsStayWithinTheBudget) {
