Logs name each request refused, retried, rejected or left, and count tables and turns

Change: events request_retried, request_refused, request_failed, request_left (with the client's id, node, number of the attempt and the reason), request_rejected (id, status, reason) and client_closed (unread bytes, requests read and not served), at most 20 lines a second of each; ends in the ordinary course are left out. pulse_state: peak memory, longest turn of the event loop, entries of each table. An uncaught exception writes a line before the process ends.

--- a/apps/spokewheeld.cpp
+++ b/apps/spokewheeld.cpp
@@ -8,6 +8,7 @@
 
 #include "config/settings.hpp"
 #include "daemon/daemon.hpp"
+#include "log/log.hpp"
 #include "platform/platform_daemon.hpp"
 
 namespace {
@@ -17,6 +18,23 @@
     return value ? value : "";
 }
 
+// Writes a line with the cause before an uncaught exception ends the process.
+[[noreturn]] void reportAndAbort() {
+    const char* cause = "no exception";
+    std::string text;
+    try {
+        if (const auto current = std::current_exception()) std::rethrow_exception(current);
+    } catch (const std::exception& error) {
+        text = error.what();
+        cause = text.c_str();
+    } catch (...) {
+        cause = "an exception of another type";
+    }
+    std::fprintf(stderr, "{\"level\":\"error\",\"event\":\"terminated\",\"words\":%s}\n",
+                 spokewheel::log::Log::quoted(cause).c_str());
+    std::abort();
+}
+
 int runPlatform() {
     spokewheel::io::Loop loop;
     std::unique_ptr<spokewheel::platform::PlatformDaemon> daemon;
@@ -46,6 +64,7 @@
     CLI11_PARSE(app, argc, argv);
 
     std::signal(SIGPIPE, SIG_IGN);
+    std::set_terminate(reportAndAbort);
     if (platform) try {
             return runPlatform();
         } catch (const std::exception& e) {
--- a/include/spokewheel/scheduler.hpp
+++ b/include/spokewheel/scheduler.hpp
@@ -3,6 +3,7 @@
 // are in units, the cost measure of the nodes.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -202,6 +203,16 @@
 using Action = std::variant<Attempt, Refuse, Fail, Cancel, Probe, SendToPeers, SetTimer, Subscribe, FetchList,
                             LimitAccount>;
 
+// How many entries the scheduler's tables hold; for the log only.
+struct TableSizes {
+    std::size_t requests = 0;   // without an answer, or with an attempt in flight
+    std::size_t deadlines = 0;  // of requests
+    std::size_t keys = 0;       // of classes that run in order
+    std::size_t volumes = 0;
+    std::size_t pools = 0;        // of volumes' limits, that this host leases to others
+    std::size_t activeHosts = 0;  // volumes with hosts that recently reported work
+};
+
 class Scheduler {
   public:
     // Throws std::invalid_argument that names the setting if the settings are out of range or contradictory.
@@ -220,6 +231,7 @@
     std::vector<LimitAccount> limitAccounts() const;
     // The number of peer messages dropped because they could not be read or held a figure out of range.
     std::uint64_t unreadableMessages() const;
+    TableSizes tableSizes() const;
 
   private:
     class Impl;
--- a/src/fronts/http/request_reader.cpp
+++ b/src/fronts/http/request_reader.cpp
@@ -78,7 +78,12 @@
 RequestReader::Result RequestReader::finish(ReceivedRequest::Kind kind) {
     current_.kind = kind;
     current_.last = kind == ReceivedRequest::Kind::Invalid || parser_.closesConnection();
-    if (kind != ReceivedRequest::Kind::Valid) current_.decoded = {}, current_.body = {};
+    if (kind != ReceivedRequest::Kind::Valid) {
+        auto id = std::move(current_.decoded.id);
+        current_.decoded = {};
+        current_.decoded.id = std::move(id);
+        current_.body = {};
+    }
     current_.body.shrink_to_fit();
     ended_ = ended_ || current_.last;
     enqueue(std::exchange(current_, {}));
--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -25,6 +25,8 @@
     bool inWaitingList = false;
     bool readsOn = false;  // more came behind the open request than an end of stream would be seen behind
     host::MemoryBudget::Lease memory;
+    std::uint64_t answers = 0;
+    std::size_t unreadAtClose = 0;      // bytes in the socket
     std::size_t discarded = 0;          // bytes discarded while closing
     bool failed = false;                // ended by an error response: later bytes need no answer
     std::optional<CloseReason> reason;  // set once this side has begun to close the connection
@@ -322,13 +324,14 @@
         case ReceivedRequest::Kind::Refused:
             return sendAnswer(s, 503, {}, "", request.last);
         case ReceivedRequest::Kind::Invalid:
-            return sendError(s, request.status, request.error);
+            return sendError(s, request.status, request.error, CloseReason::Unreadable, request.decoded.id);
     }
 }
 
 void Server::submit(const SessionPtr& s, ReceivedRequest request) {
     if (!openRequestIds_.insert(request.decoded.id).second)
-        return sendError(s, 409, "X-Request-ID is of an open request");
+        return sendError(s, 409, "X-Request-ID is of an open request", CloseReason::Unreadable,
+                         request.decoded.id);
     ++counts_.requests;
     s->openId = request.decoded.id;
     s->openIsLast = request.last;
@@ -386,12 +389,15 @@
     if (last) fields.emplace_back("Connection", "close");
     s->connection->write(wire::http::responseHead(status, fields, body.size()) + body);
     s->connection->flush();
+    ++s->answers;
     if (last) shutDown(s, reason);
     else enterPhase(*s, Phase::Idle);
 }
 
-void Server::sendError(const SessionPtr& s, int status, const std::string& message, CloseReason reason) {
+void Server::sendError(const SessionPtr& s, int status, const std::string& message, CloseReason reason,
+                       const std::string& request) {
     ++counts_.errors;
+    if (onRejected_) onRejected_({status, request, message});
     s->failed = true;
     sendAnswer(s, status, {{"Content-Type", "text/plain"}}, message + "\n", true, reason);
 }
@@ -423,7 +429,9 @@
     const auto reason = s->reason.value_or(CloseReason::ByClient);
     ++counts_.closes[static_cast<std::size_t>(reason)];
     if (s->reason) checkClose(*s);
-    if (onClose_) onClose_(reason, s->hostRequestId.empty() ? std::string() : s->openId);
+    if (onClose_)
+        onClose_({reason, s->hostRequestId.empty() ? std::string() : s->openId, s->answers, s->unreadAtClose,
+                  s->reader.queue().size()});
     if (!s->hostRequestId.empty()) {
         openRequestIds_.erase(s->openId);
         host_.abandon(std::exchange(s->hostRequestId, {}));
@@ -436,6 +444,7 @@
 
 void Server::close(const SessionPtr& s, CloseReason reason) {
     if (!s->reason) s->reason = reason;
+    s->unreadAtClose = s->connection->unreadBytes();
     s->connection->close();
     onClosed(s);
 }
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -31,9 +31,23 @@
         std::array<std::uint64_t, static_cast<std::size_t>(CloseReason::Count)> closes{};
         std::size_t peakConnections = 0;
     };
-    // Called when a connection has ended, with the id of the request that was open on it (may be empty).
-    using CloseCallback = std::function<void(CloseReason, const std::string& request)>;
-    void onClose(CloseCallback callback) { onClose_ = std::move(callback); }
+    // A connection that has ended; for the log.
+    struct ClosedConnection {
+        CloseReason reason = CloseReason::ByClient;
+        std::string openRequest;           // X-Request-ID of the request that was open; empty: none was
+        std::uint64_t answers = 0;         // sent on it
+        std::size_t unreadBytes = 0;       // left in the socket, where this side closed it
+        std::size_t unservedRequests = 0;  // read and not answered
+    };
+    // An error answer of this server itself; for the log. `request`: its X-Request-ID, empty if unknown.
+    struct RejectedRequest {
+        int status = 0;
+        std::string request, reason;
+    };
+    void onClose(std::function<void(const ClosedConnection&)> callback) { onClose_ = std::move(callback); }
+    void onRejected(std::function<void(const RejectedRequest&)> callback) {
+        onRejected_ = std::move(callback);
+    }
     // Throws std::runtime_error if it can't listen. `descriptors`: of the whole process; when a new
     // connection exceeds the clients' share of them (splitDescriptors()), an existing one is evicted.
     // `memory` must outlive the host.
@@ -55,6 +69,7 @@
     void stopListening();
     const Counts& counts() const { return counts_; }
     std::size_t connections() const { return sessions_.size(); }
+    std::size_t openRequestIds() const { return openRequestIds_.size(); }
     int port() const { return listener_->port(); }
 
   private:
@@ -84,7 +99,7 @@
     void sendAnswer(const SessionPtr& s, int status, wire::http::Fields fields, const std::string& body,
                     bool last, CloseReason reason = CloseReason::LastAnswer);
     void sendError(const SessionPtr& s, int status, const std::string& message,
-                   CloseReason reason = CloseReason::Unreadable);
+                   CloseReason reason = CloseReason::Unreadable, const std::string& request = {});
     void shutDown(const SessionPtr& s, CloseReason reason);
     void close(const SessionPtr& s, CloseReason reason);
     void checkClose(const Session& s);
@@ -103,7 +118,8 @@
     std::unordered_set<std::string> openRequestIds_;
     bool reportsReady_ = false, expectsConnections_ = true, draining_ = false, listening_ = true;
     std::function<void()> onEmpty_;
-    CloseCallback onClose_;
+    std::function<void(const ClosedConnection&)> onClose_;
+    std::function<void(const RejectedRequest&)> onRejected_;
     Counts counts_;
     io::Timer sweepTimer_, admissionTimer_, pausedTimer_;
     std::unique_ptr<io::Listener> listener_;
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -99,6 +99,8 @@
     found->second.done = nullptr;
     guard_.onClientLeft(id);
     logEvent("left", id, "", "");
+    if (found->second.openAttempts > 0)
+        note(RequestNote::Kind::LeftOpen, id, found->second, "", "", found->second.openAttempts);
     withdrawAttempts(found->second);
     if (!found->second.inScheduler) {
         guard_.onRemoved(id);
@@ -140,6 +142,26 @@
     return kNames[static_cast<std::size_t>(reason)];
 }
 
+const char* nameOf(Outcome outcome) {
+    static constexpr const char* kNames[] = {"served",        "server_error",    "rejected",  "no_answer",
+                                             "no_connection", "connection_lost", "cancelled", "not_sent"};
+    static_assert(std::size(kNames) == static_cast<std::size_t>(Outcome::NotSent) + 1);
+    return kNames[static_cast<std::size_t>(outcome)];
+}
+
+const char* nameOf(RequestNote::Kind kind) {
+    static constexpr const char* kNames[] = {"request_retried", "request_refused", "request_failed",
+                                             "request_left"};
+    static_assert(std::size(kNames) == static_cast<std::size_t>(RequestNote::Kind::LeftOpen) + 1);
+    return kNames[static_cast<std::size_t>(kind)];
+}
+
+void Host::note(RequestNote::Kind kind, const std::string& id, const Request& request, const char* reason,
+                const std::string& node, int attempt) {
+    if (dependencies_.onRequestNote)
+        dependencies_.onRequestNote({kind, id, request.spec.clientRequestId, node, attempt, reason});
+}
+
 void Host::perform(const Attempt& action) {
     const auto found = requests_.find(action.id);
     const int attempt = found == requests_.end() ? 0 : found->second.attempts++;
@@ -153,6 +175,9 @@
     const double until =
         action.expireAtMs > 0 ? std::min(action.expireAtMs, request.deadline) : request.deadline;
     logEvent("attempt", action.id, action.node, std::to_string(attempt));
+    if (attempt > 0)
+        note(RequestNote::Kind::Retried, action.id, request, nameOf(request.lastOutcome), action.node,
+             attempt);
     char units[32];
     std::snprintf(units, sizeof units, "%g", request.spec.units);
     const AttemptLabel label{action.id, attempt,
@@ -189,6 +214,7 @@
     if (found == requests_.end()) return;
     auto& request = found->second;
     --request.openAttempts;
+    request.lastOutcome = result.outcome;
     guard_.onEnded(id, attempt, result.outcome);
     ++counters_.outcomes[result.outcome];
     logEvent("outcome", id, node, std::to_string(static_cast<int>(result.outcome)));
@@ -237,11 +263,15 @@
 void Host::perform(const Refuse& action) {
     logEvent("refused", action.id, "", nameOf(action.reason));
     ++counters_.ends[action.reason];
+    if (const auto found = requests_.find(action.id); found != requests_.end())
+        note(RequestNote::Kind::Refused, action.id, found->second, nameOf(action.reason));
     finish(action.id, {Answer::Kind::Refused, 0, {}, -1, action.retryAfterMs});
 }
 void Host::perform(const Fail& action) {
     logEvent("failed", action.id, "", nameOf(action.reason));
     ++counters_.ends[action.reason];
+    if (const auto found = requests_.find(action.id); found != requests_.end())
+        note(RequestNote::Kind::Failed, action.id, found->second, nameOf(action.reason));
     finish(action.id, {Answer::Kind::Failed, 0, {}, -1, 0});
 }
 void Host::perform(const Cancel& action) {
--- a/src/host/host.hpp
+++ b/src/host/host.hpp
@@ -53,8 +53,19 @@
     double stepMs = 0;                        // total time spent in Scheduler::step()
 };
 
-// The name of the reason in the log.
+// Names for the log.
 const char* nameOf(EndReason reason);
+const char* nameOf(Outcome outcome);
+
+// What happened to a request other than that it was served by its first attempt; for the log only.
+struct RequestNote {
+    enum class Kind { Retried, Refused, Failed, LeftOpen } kind = Kind::Refused;
+    std::string request, clientRequestId;
+    std::string node;  // Retried: that the further attempt is for
+    int attempt = 0;   // Retried: its number, from 0; LeftOpen: attempts still open when the client left
+    const char* reason = "";  // Retried: how the attempt before ended; Refused, Failed: why
+};
+const char* nameOf(RequestNote::Kind kind);
 
 class Host {
   public:
@@ -65,6 +76,7 @@
         std::function<void(const char* event, const std::string& request, const std::string& node,
                            const std::string& words)>
             logEvent;
+        std::function<void(const RequestNote&)> onRequestNote;
         // Only called if Settings::reportLimitAccounts.
         std::function<void(const LimitAccount&)> onLimitAccount;
     };
@@ -96,6 +108,7 @@
     int shardOf(const std::string& node) const;
     std::vector<LimitAccount> limitAccounts() const { return scheduler_.limitAccounts(); }
     std::uint64_t unreadablePeerMessages() const { return scheduler_.unreadableMessages(); }
+    TableSizes tableSizes() const { return scheduler_.tableSizes(); }
 
   private:
     struct Request {
@@ -104,7 +117,8 @@
         double deadline = 0;
         bool inScheduler = false;  // has left `waiting_`
         int attempts = 0, openAttempts = 0;
-        std::vector<std::uint64_t> sends;  // ids of the transport, by attempt
+        Outcome lastOutcome = Outcome::NotSent;  // of the attempt that ended last
+        std::vector<std::uint64_t> sends;        // ids of the transport, by attempt
     };
     void withdrawAttempts(const Request& request);
     void queueEvent(Event event);
@@ -128,6 +142,8 @@
         if (dependencies_.logEvent) dependencies_.logEvent(event, id, node, words);
     }
     void erase(const std::string& id);
+    void note(RequestNote::Kind kind, const std::string& id, const Request& request, const char* reason,
+              const std::string& node = {}, int attempt = 0);
 
     bool mayBegin(const std::string& id, int attempt, const std::string& node);
 
--- a/src/io/loop.cpp
+++ b/src/io/loop.cpp
@@ -32,14 +32,29 @@
     return times;
 }
 
+// Time between the end of a poll and the start of the next one, in which the loop ran its callbacks.
+struct TurnTimes {
+    double startedMs = -1, longestMs = 0;
+};
+TurnTimes& turnTimes() {
+    static TurnTimes times;
+    return times;
+}
+void onTurnEnded() {
+    auto& times = turnTimes();
+    if (times.startedMs >= 0) times.longestMs = std::max(times.longestMs, nowMs() - times.startedMs);
+}
+
 // The loop's GPollFunc: polls in slices and records their times. Returns what poll(2) returns.
 gint pollAndRecordTimes(GPollFD* descriptors, guint count, gint timeoutMs) {
     static_assert(sizeof(GPollFD) == sizeof(pollfd));
+    onTurnEnded();
     for (;;) {
         const bool sliced = timeoutMs < 0 || timeoutMs > kMaxPollMs;
         const int waitMs = sliced ? kMaxPollMs : timeoutMs;
         const double before = nowMs();
         const int ready = poll(reinterpret_cast<pollfd*>(descriptors), count, waitMs);
+        turnTimes().startedMs = nowMs();
         if (ready < 0) return ready;
         pollTimes() = {pollTimes().latestMs, ready == 0 ? before + waitMs : before};
         if (ready > 0 || !sliced) return ready;
@@ -50,6 +65,7 @@
 }  // namespace
 
 double earliestArrivalMs() { return pollTimes().previousMs; }
+double takeLongestTurnMs() { return std::exchange(turnTimes().longestMs, 0); }
 
 void Timer::arm(double afterMs, std::function<void()> callback) {
     callback_ = std::move(callback);
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -47,7 +47,7 @@
     return out + "\"";
 }
 
-void Log::event(Level level, std::string_view name, Fields fields, double nowMs) {
+void Log::event(Level level, std::string_view name, Fields fields, double nowMs, std::uint64_t maxPerSecond) {
     const auto spdlogLevel = level == Level::Debug  ? spdlog::level::debug
                              : level == Level::Info ? spdlog::level::info
                              : level == Level::Warn ? spdlog::level::warn
@@ -57,7 +57,7 @@
     if (found == limits_.end()) found = limits_.emplace(std::string(name), RateLimit{}).first;
     auto& limit = found->second;
     if (nowMs >= limit.windowStart + 1000) limit.windowStart = nowMs, limit.inWindow = 0;
-    if (++limit.inWindow > kMaxPerSecond) {
+    if (++limit.inWindow > maxPerSecond) {
         ++limit.suppressed;
         return;
     }
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -26,8 +26,11 @@
     ~Log();
     // Writes one event with its fields, leaving out empty values. `nowMs`: monotonic time, for the rate
     // limit.
-    void event(Level level, std::string_view name, Fields fields, double nowMs);
+    // `maxPerSecond`: of lines of this event.
+    void event(Level level, std::string_view name, Fields fields, double nowMs,
+               std::uint64_t maxPerSecond = kMaxPerSecond);
     void flush();
+    static constexpr std::uint64_t kMaxPerSecond = 100;
     // Returns the text as a JSON string literal with quotes; bytes other than printable ASCII become \u00XX.
     static std::string quoted(std::string_view text);
 
@@ -36,7 +39,6 @@
         double windowStart = 0;
         std::uint64_t inWindow = 0, suppressed = 0;
     };
-    static constexpr std::uint64_t kMaxPerSecond = 100;
     std::shared_ptr<spdlog::logger> logger_;
     std::string host_;
     std::map<std::string, RateLimit, std::less<>> limits_;
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -62,6 +62,7 @@
             log_.event(Level::Info, event, {{"request", request}, {"node", node}, {"words", words}},
                        io::nowMs());
         };
+    dependencies.onRequestNote = [this](const host::RequestNote& note) { logRequestNote(log_, note); };
     dependencies.onLimitAccount = [this](const LimitAccount& account) { logLimitAccount(log_, account); };
     host_ = createHost(file_, c, std::move(dependencies));
     startPeerLink();
@@ -72,11 +73,12 @@
         });
     server_ = std::make_unique<fronts::http::Server>(*host_, configuration_.schedulerSettings, c.listen,
                                                      c.sockets, memory_);
-    if (environment_.trace)
-        server_->onClose([this](fronts::http::CloseReason reason, const std::string& request) {
-            log_.event(Level::Info, "client_closed", {{"reason", nameOf(reason)}, {"request", request}},
-                       io::nowMs());
-        });
+    server_->onClose([this](const fronts::http::Server::ClosedConnection& closed) {
+        logClosedConnection(log_, closed, environment_.trace);
+    });
+    server_->onRejected([this](const fronts::http::Server::RejectedRequest& rejected) {
+        logRejectedRequest(log_, rejected);
+    });
     startWatch();
     readyTimer_.arm(kReadyDeadlineMs, [this] { becomeReady("not heard"); });
     log_.event(Level::Info, "started",
--- a/src/platform/report.cpp
+++ b/src/platform/report.cpp
@@ -1,5 +1,7 @@
 #include "platform/report.hpp"
 
+#include <sys/resource.h>
+
 #include <cstdio>
 #include <iterator>
 #include <string>
@@ -52,8 +54,66 @@
     return kNames[static_cast<std::size_t>(moment)];
 }
 
+// The most memory that this process has had resident, in KiB.
+long peakResidentKb() {
+    rusage usage{};
+    return getrusage(RUSAGE_SELF, &usage) == 0 ? usage.ru_maxrss : 0;
+}
+
+void logState(log::Log& log, const CounterSources& sources, double nowMs) {
+    const auto sizes = sources.host.tableSizes();
+    log.event(Level::Info, "pulse_state",
+              {{"peak_kb", text(peakResidentKb())},
+               {"turn_ms", formatUnits(io::takeLongestTurnMs())},
+               {"requests", text(sizes.requests)},
+               {"deadlines", text(sizes.deadlines)},
+               {"ids", text(sources.server.openRequestIds())},
+               {"keys", text(sizes.keys)},
+               {"volumes", text(sizes.volumes)},
+               {"pools", text(sizes.pools)},
+               {"active_hosts", text(sizes.activeHosts)}},
+              nowMs);
+}
+
+// Whether a connection that ended for this reason can have been of a client that got what it was owed.
+bool isOrdinary(const fronts::http::Server::ClosedConnection& closed) {
+    using fronts::http::CloseReason;
+    if (!closed.openRequest.empty() || closed.unservedRequests > 0 || closed.unreadBytes > 0) return false;
+    return closed.reason == CloseReason::ByClient || closed.reason == CloseReason::LastAnswer ||
+           closed.reason == CloseReason::Idle || closed.reason == CloseReason::Draining;
+}
+
 }  // namespace
 
+void logRequestNote(log::Log& log, const host::RequestNote& note) {
+    const bool counts =
+        note.kind == host::RequestNote::Kind::Retried || note.kind == host::RequestNote::Kind::LeftOpen;
+    log.event(Level::Info, nameOf(note.kind),
+              {{"request", note.request},
+               {"id", note.clientRequestId},
+               {"node", note.node},
+               {"attempts", counts ? text(note.attempt) : ""},
+               {"reason", note.reason}},
+              io::nowMs(), kMaxRequestLinesPerSecond);
+}
+
+void logRejectedRequest(log::Log& log, const fronts::http::Server::RejectedRequest& rejected) {
+    log.event(Level::Info, "request_rejected",
+              {{"id", rejected.request}, {"status", text(rejected.status)}, {"reason", rejected.reason}},
+              io::nowMs(), kMaxRequestLinesPerSecond);
+}
+
+void logClosedConnection(log::Log& log, const fronts::http::Server::ClosedConnection& closed, bool all) {
+    if (!all && isOrdinary(closed)) return;
+    log.event(Level::Info, "client_closed",
+              {{"reason", nameOf(closed.reason)},
+               {"id", closed.openRequest},
+               {"answers", text(closed.answers)},
+               {"unserved", text(closed.unservedRequests)},
+               {"unread_bytes", text(closed.unreadBytes)}},
+              io::nowMs(), kMaxRequestLinesPerSecond);
+}
+
 void logCounters(log::Log& log, const CounterSources& sources) {
     const auto& c = sources.host.counters();
     const auto& server = sources.server.counts();
@@ -81,6 +141,7 @@
                {"refused", text(server.memoryRefusals)},
                {"answer_waits", text(sources.nodes.memoryWaits())}},
               now);
+    logState(log, sources, now);
     log.event(Level::Info, "pulse_links",
               {{"node_closes", countsByName<nodes::LinkCloseReason>(sources.nodes.closes())}}, now);
     log.event(Level::Info, "pulse_watch",
--- a/src/platform/report.hpp
+++ b/src/platform/report.hpp
@@ -27,11 +27,21 @@
 };
 
 // Logs the events `pulse` (requests), `pulse_ends` (why requests and attempts ended), `pulse_closes` (why
-// client connections ended), `pulse_memory` (the memory of requests and answers, in bytes), `pulse_links`
+// client connections ended), `pulse_memory` (the memory of requests and answers, in bytes), `pulse_state`
+// (entries of each table, the process's largest memory and its longest loop iteration), `pulse_links`
 // (why node connections ended), `pulse_watch` (faults of the node list watch) and `pulse_work` (errors,
 // scheduler steps, connections, peer messages).
 void logCounters(log::Log& log, const CounterSources& sources);
 
+// Log events about single requests and connections, at most kMaxRequestLinesPerSecond of each kind.
+constexpr std::uint64_t kMaxRequestLinesPerSecond = 20;
+// `request_retried`, `request_refused`, `request_failed`, `request_left`.
+void logRequestNote(log::Log& log, const host::RequestNote& note);
+// `request_rejected`: an error answer of the HTTP front itself.
+void logRejectedRequest(log::Log& log, const fronts::http::Server::RejectedRequest& rejected);
+// `client_closed`; ends in the ordinary course are left out unless `all`.
+void logClosedConnection(log::Log& log, const fronts::http::Server::ClosedConnection& closed, bool all);
+
 // Logs the event `limit_account`: what this host holds of one volume's limit, in units.
 void logLimitAccount(log::Log& log, const LimitAccount& note);
 
--- a/src/policy/active_hosts.hpp
+++ b/src/policy/active_hosts.hpp
@@ -16,6 +16,7 @@
     // left out for lack of room.
     std::size_t count(std::int64_t volume, double nowMs) const;
     void removeExpired(double nowMs);
+    std::size_t size() const { return volumes_.size(); }
 
   private:
     using LastReports = std::map<int, double>;  // time by rank
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -102,6 +102,10 @@
     }
 
     std::uint64_t unreadableMessages() const { return unreadableMessages_; }
+    TableSizes tableSizes() const {
+        return {requests_.size(), deadlines_.size(), keyQueues_.size(),
+                volumes_.size(),  quotaPool_.size(), activeHosts_.size()};
+    }
     std::vector<LimitAccount> limitAccounts() const {
         std::vector<LimitAccount> accounts;
         for (const auto& [id, volume] : volumes_)
@@ -1206,5 +1210,6 @@
 }
 std::vector<LimitAccount> Scheduler::limitAccounts() const { return impl_->limitAccounts(); }
 std::uint64_t Scheduler::unreadableMessages() const { return impl_->unreadableMessages(); }
+TableSizes Scheduler::tableSizes() const { return impl_->tableSizes(); }
 
 }  // namespace spokewheel
--- a/src/policy/quota_pool.hpp
+++ b/src/policy/quota_pool.hpp
@@ -37,6 +37,7 @@
                  double nowMs);
     // Drops the state of volumes whose pool is full again: it equals that of a volume without requests.
     void removeFull(double nowMs);
+    std::size_t size() const { return pools_.size(); }  // volumes with state
 
   private:
     struct Lease {
