Scheduler: a request's deadline is dropped with the request

What was seen: each request left its entry in the table of deadlines until its client's time was over, an hour where the client says so: some 130 bytes a request, by a figure that the client chooses. Cause: deadlines_ was only ever emptied by time. Now a request has one entry, which goes with it. Measured: TableBoundsOfDeadlines failed before (1,000 of 0 left), passes; the other 105 tests of the module pass.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -545,9 +545,15 @@
         pending.deadline = now_ + request.ttlMs;
         pending.latencyTargetAt = now_ + latencyTargetLeft;
         requestsById_[request.id] = std::prev(requests_.end());
-        deadlines_.insert({pending.deadline, request.id});
+        setExpiry(pending, pending.deadline);
         return pending;
     }
+    // Each request has one entry in the table of deadlines, for as long as it is kept.
+    void setExpiry(PendingRequest& pending, double at) {
+        deadlines_.erase({pending.expiresAt, pending.request.id});
+        pending.expiresAt = at;
+        deadlines_.insert({at, pending.request.id});
+    }
 
     // Counts an arrived request towards what the volume is entitled to at this host.
     void accrueEntitlement(Volume& volume, double units) {
@@ -868,7 +874,7 @@
         dequeue(pending);
         if (pending.origin >= 0) {
             outgoingPermits_[pending.origin].push_back({PermitKind::Grant, pending.originSeq});
-            deadlines_.insert({std::min(pending.deadline, now_ + kPermitLeaseMs), pending.request.id});
+            setExpiry(pending, std::min(pending.deadline, now_ + kPermitLeaseMs));
         } else actions_.emplace_back(Attempt{pending.request.id, node.id, expireAt});
     }
     void on(const AttemptEnded& result) {
@@ -971,6 +977,7 @@
             releaseReservation(pending);
             --pending.volume->openRequests;
         }
+        deadlines_.erase({pending.expiresAt, pending.request.id});
         const auto position = requestsById_.at(pending.request.id);
         requestsById_.erase(pending.request.id);
         requests_.erase(position);
@@ -993,7 +1000,7 @@
         for (auto& pending : requests_) {
             if (pending.origin >= 0 || pending.deadline <= shutdown.atMs) continue;
             pending.deadline = shutdown.atMs;
-            deadlines_.insert({pending.deadline, pending.request.id});
+            setExpiry(pending, pending.deadline);
         }
     }
     template <class Unused>
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -114,6 +114,7 @@
     Volume* volume = nullptr;
     std::uint64_t seq = 0;
     double arrivedAt = 0, deadline = 0, latencyTargetAt = 0, notBefore = 0, mayHaveRunAt = 0;
+    double expiresAt = 0;  // its entry in the table of deadlines
     std::vector<SentAttempt> attempts;
     int openAttempts = 0;
     // `boundShard`: of the node where it may have run. `targetShard`: the one that it is to be sent to.
