Scheduler: one client's long time-out does not make other requests late

What callers saw: after one valid request with X-Timeout-Ms of an hour the others of its class were refused early, for good. Cause: the time that a request has spent already is read from the longest time to live that its class has shown; that figure had no bound, so one client could set it for all others until the process ended. Why this works: times are compared up to the class's deadline, which the settings give; where clients wait for the deadline, as the simulator's do, nothing changes. Measured: LongTimeouts failed before (3 of 8 requests refused, 0 without the long one), passes.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -484,17 +484,22 @@
             volume.limitShare.setHosts(limitParts(volume).own, activeHostCount(volume), now_);
         volume.lastRequestAt = now_;
         ++volume.openRequests;
-        // A shorter time to live than the longest of the class means that time has passed already: the client
-        // tried before, or this host stalled with the request in a buffer. Its latency target counts from
-        // then.
-        double& longest = longestTtl_[kind];
-        longest = std::max(longest, request.ttlMs);
-        auto& pending = admit(request, *kind, *plan, kind->latencyTargetMs - (longest - request.ttlMs));
+        auto& pending = admit(request, *kind, *plan, kind->latencyTargetMs - elapsedMs(request, *kind));
         pending.volume = &volume;
         queue_[pending.seq] = &pending;
         if (pending.isOrdered()) enqueueOrdered(keyQueues_[request.key], pending);
         accrueEntitlement(volume, request.units);
     }
+    // A shorter time to live than the longest of the class means that time has passed already: the client
+    // tried before, or this host stalled with the request in a buffer. Its latency target counts from then.
+    // Only times up to the class's deadline are compared: one client that waits for longer says nothing about
+    // the requests of others.
+    double elapsedMs(const Request& request, const RequestClass& kind) {
+        const double ttl = kind.deadlineMs > 0 ? std::min(request.ttlMs, kind.deadlineMs) : request.ttlMs;
+        double& longest = longestTtl_[&kind];
+        longest = std::max(longest, ttl);
+        return longest - ttl;
+    }
     // On the first request of a volume: whatever could have been drawn without this process knowing counts as
     // drawn. Without peers only the previous process of this host can have drawn from this part: requests
     // come through this host alone, or the hosts' parts are fixed.
