Scheduler: all that is kept under names that clients choose has a bound in bytes

What callers saw: one client that named a new volume with each read took a process to 93 MB of 32 in 10 s; the platform kills it. Cause: a volume stayed for 30 s after its last request, at the host and at its peers, and any number of them; likewise pools (16,384 of some 700 bytes), hosts that report work (4,096 x 16), keys of classes that run in order, and counts for the retry budget, which were only dropped when a retry was weighed. Change: Settings::stateBytes, an eighth of the process's memory, is divided among the tables (table_limits.hpp). A new volume without room displaces one that may be forgotten: those requested once first, then the least recently requested. A volume with a limit may be forgotten where its parts start empty when it is met again, or, without pools, once they are full again, so nothing spent is forgotten; where none may go the request is refused (no_room). Pools and leases without room are not leased, peers' figures without room are passed over, a key without room is refused. A key goes with its last request. All 113 tests of the module pass.

--- a/include/spokewheel/scheduler.hpp
+++ b/include/spokewheel/scheduler.hpp
@@ -80,6 +80,9 @@
     std::string zone;
     bool reportLimitAccounts = false;  // emit LimitAccount actions
     bool reportsAttemptBegun = false;  // the caller sends AttemptBegun events
+    // Bytes that all that is kept of volumes and keys may take, however many of them clients name. Volumes
+    // that are idle are forgotten for new ones, and requests without room are refused (EndReason::NoRoom).
+    std::size_t stateBytes = 32 * 1024 * 1024;
 };
 
 // ---- events ----
@@ -154,6 +157,7 @@
     NotSentInTime,  // no node took it before it had to be given up
     AttemptsUsed,   // the last attempt failed and may not be repeated
     TimeOver,       // an attempt was in flight at its deadline
+    NoRoom,         // no room for its volume or key (Settings::stateBytes)
     Count
 };
 // Tell the client that it may send the request again: it was not done, or doing it again does no harm.
--- a/src/host/attempt_guard.cpp
+++ b/src/host/attempt_guard.cpp
@@ -38,7 +38,9 @@
     request.deadline = deadline;
     for (const auto& candidate : settings_.classes)
         if (candidate.name == requestClass) request.requestClass = &candidate;
-    if (settings_.retryBudgetSpanMs > 0) submittedAt_.push_back(nowMs);
+    if (settings_.retryBudgetSpanMs <= 0) return;
+    dropBefore(submittedAt_, nowMs - settings_.retryBudgetSpanMs);
+    submittedAt_.push_back(nowMs);
 }
 
 void AttemptGuard::onDeadline(double atMs) {
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -136,8 +136,8 @@
 }
 
 const char* nameOf(EndReason reason) {
-    static constexpr const char* kNames[] = {"unknown_kind", "beyond_limit", "not_sent_in_time",
-                                             "attempts_used", "time_over"};
+    static constexpr const char* kNames[] = {"unknown_kind",  "beyond_limit", "not_sent_in_time",
+                                             "attempts_used", "time_over",    "no_room"};
     static_assert(std::size(kNames) == static_cast<std::size_t>(EndReason::Count));
     return kNames[static_cast<std::size_t>(reason)];
 }
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -140,6 +140,7 @@
         paths.get("ceilings.dial-timeout-ms", c.dialTimeoutMs);
         paths.get("ceilings.conn-idle-ms", c.connIdleMs);
         c.schedulerSettings.reportLimitAccounts = true;
+        c.schedulerSettings.stateBytes = stateMemory(c.memoryMb);
         c.schedulerSettings.maxOpen = maxOpenRequests(c.sockets, c.schedulerSettings.maxOpen);
     } catch (const settings::SettingError& fault) {
         file.fail("settings." + fault.path, fault.expected);
--- a/src/platform/decide_budget.hpp
+++ b/src/platform/decide_budget.hpp
@@ -29,7 +29,7 @@
 
 // The budget for all that grows with requests and their answers (fronts/http/decide_memory.hpp): half of the
 // memory less what each connection takes by itself. The other half is for the program, the node list, what
-// the scheduling module keeps, and fragmentation.
+// the scheduling module keeps (stateMemory()), and fragmentation.
 inline std::size_t requestMemory(std::size_t sockets, std::size_t memoryMb) {
     constexpr std::size_t kBytesPerDescriptor = 4096;
     const std::size_t memory = memoryMb * 1024 * 1024;
@@ -37,6 +37,12 @@
     return std::max(memory / 8, memory / 2 > connections ? memory / 2 - connections : 0);
 }
 
+// What the scheduling module may keep of volumes and keys (Settings::stateBytes).
+inline std::size_t stateMemory(std::size_t memoryMb) {
+    constexpr std::size_t kFraction = 8;
+    return memoryMb * 1024 * 1024 / kFraction;
+}
+
 // How many requests can be open at once; each occupies a connection. `configured`: the limit in the settings,
 // 0 if there is none.
 inline int maxOpenRequests(std::size_t sockets, int configured) {
--- a/src/policy/limit_share.cpp
+++ b/src/policy/limit_share.cpp
@@ -22,7 +22,10 @@
 void LimitShare::refill(double nowMs) {
     const double refilled = own_.rate * (nowMs - refilledAtMs_) / 1000;
     refilledAtMs_ = nowMs;
-    while (!leases_.empty() && leases_.front().untilMs <= nowMs) leases_.pop_front();
+    leases_.erase(
+        std::remove_if(leases_.begin(), leases_.end(),
+                       [nowMs](const Lease& lease) { return lease.untilMs <= nowMs || lease.units <= 0; }),
+        leases_.end());
     const double levelBefore = level_;
     level_ = std::min(std::max(0.0, own_.burst - reserved_), level_ + refilled);
     refilledSinceRequest_ += std::max(0.0, level_ - levelBefore);
--- a/src/policy/limit_share.hpp
+++ b/src/policy/limit_share.hpp
@@ -9,7 +9,7 @@
 // that moment on it refills at its part of the bucket's rate.
 #pragma once
 
-#include <deque>
+#include <vector>
 
 namespace spokewheel {
 
@@ -36,6 +36,8 @@
     void addLease(double units, double untilMs) { leases_.push_back({untilMs, units}); }
 
     double level() const { return level_; }  // of the own part
+    // Whether it equals a part that nothing was ever drawn from.
+    bool isFull() const { return level_ >= own_.burst && reserved_ <= 0; }
     double leased() const;
     double reserved() const { return reserved_; }
 
@@ -47,7 +49,7 @@
     int hosts_ = 1;
     double refilledAtMs_ = 0, level_ = 0, reserved_ = 0;
     double refilledSinceRequest_ = 0;  // units refilled since a request last named the number of hosts
-    std::deque<Lease> leases_;
+    std::vector<Lease> leases_;        // in order of their end; none that is used up
 };
 
 }  // namespace spokewheel
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "active_hosts.hpp"
+#include "key_queues.hpp"
 #include "limit_parts.hpp"
 #include "peer_messages.hpp"
 #include "quota_pool.hpp"
@@ -18,6 +19,8 @@
 #include "settings_check.hpp"
 #include "spokewheel/scheduler.hpp"
 #include "state.hpp"
+#include "table_limits.hpp"
+#include "volume_table.hpp"
 
 namespace spokewheel {
 namespace {
@@ -43,8 +46,6 @@
 // Idle volumes and peers without reports are dropped after this; their own parts are full again by then.
 constexpr double kIdleForgetMs = 30000;
 constexpr double kIdleSubperiods = 2;  // without a request, before other hosts' reports void a volume's share
-// Volumes known to this host, beyond which it does not join one that a peer introduces.
-constexpr std::size_t kMaxIntroducedVolumes = 4096;
 constexpr std::size_t kMaxExtraPeers = 8;  // whose reports are kept beyond a volume's number of hosts
 // Coordinated nodes: the fractions of a cold node's budget that its coordinator and two stand-ins decide
 // about.
@@ -59,7 +60,13 @@
 
 class Scheduler::Impl {
   public:
-    Impl(const Settings& settings, std::uint64_t seed) : settings_(settings), random_(seed) {
+    Impl(const Settings& settings, std::uint64_t seed)
+        : settings_(settings),
+          random_(seed),
+          volumes_(tableLimits(settings.stateBytes).volumes),
+          activeHosts_(tableLimits(settings.stateBytes).activeHosts),
+          quotaPool_(0, tableLimits(settings.stateBytes).pools),
+          keyQueues_(tableLimits(settings.stateBytes).keys) {
         validate(settings_);
         incarnation_ = static_cast<std::uint32_t>(random_() & 0xffff);
         seq_ = random_() & 0xfffff;
@@ -71,7 +78,7 @@
         now_ = now;
         if (startedAt_ < 0) {
             startedAt_ = now_;
-            quotaPool_ = QuotaPool(now_);
+            quotaPool_.start(now_);
             subperiod_ = subperiodOf(now_);
             if (settings_.subscribe) subscribeAt_ = now_;
         }
@@ -474,11 +481,16 @@
     void on(const Request& request) {
         const auto* kind = findByName(settings_.classes, request.requestClass);
         const auto* plan = findByName(settings_.plans, request.plan);
-        if (settings_.retryBudgetSpanMs > 0) acceptedRequests_.entries.push_back({now_, 1});
+        if (settings_.retryBudgetSpanMs > 0) acceptedRequests_.add(now_, 1, settings_.retryBudgetSpanMs);
         if (requestsById_.count(request.id)) return;
         if (!kind || !plan) return refuse(request.id, EndReason::UnknownKind);
-        auto& volume = volumes_[request.volume];
-        if (!volume.plan) startVolume(request.volume, volume, *plan, request.hosts);
+        const bool ordered = kind->inOrder && request.key != -1;
+        if (ordered && !keyQueues_.hasRoomFor(request.key)) return refuse(request.id, EndReason::NoRoom);
+        auto* known = volumes_.findOrAdd(request.volume, [this](Volume& other) { return mayForget(other); });
+        if (!known) return refuse(request.id, EndReason::NoRoom);
+        auto& volume = *known;
+        if (!volume.plan) startVolume(volume, *plan, request.hosts);
+        volumes_.noteRequest(volume);
         volume.hosts = std::max(1, request.hosts);
         if (volume.hasLimit())
             volume.limitShare.setHosts(limitParts(volume).own, activeHostCount(volume), now_);
@@ -487,7 +499,8 @@
         auto& pending = admit(request, *kind, *plan, kind->latencyTargetMs - elapsedMs(request, *kind));
         pending.volume = &volume;
         queue_[pending.seq] = &pending;
-        if (pending.isOrdered()) enqueueOrdered(keyQueues_[request.key], pending);
+        // The previous process may have left an attempt of unknown outcome.
+        if (pending.isOrdered()) wakeAt(keyQueues_.add(pending, startedAt_ + settings_.settleAfterDoubtMs));
         accrueEntitlement(volume, request.units);
     }
     // A shorter time to live than the longest of the class means that time has passed already: the client
@@ -503,8 +516,7 @@
     // On the first request of a volume: whatever could have been drawn without this process knowing counts as
     // drawn. Without peers only the previous process of this host can have drawn from this part: requests
     // come through this host alone, or the hosts' parts are fixed.
-    void startVolume(std::int64_t id, Volume& volume, const Plan& plan, int hosts) {
-        volume.id = id;
+    void startVolume(Volume& volume, const Plan& plan, int hosts) {
         volume.plan = &plan;
         volume.refilledAt = usesPools() ? now_ : startedAt_;
         volume.hosts = std::max(1, hosts);
@@ -518,21 +530,25 @@
     // A peer is short of credit for a volume that all hosts share: this host takes part before it has a
     // request for it, so that its idle part can be lent.
     void joinVolume(int from, const VolumeIntroduction& introduction) {
-        const auto found = volumes_.find(introduction.volume);
         const auto& plan = settings_.plans[introduction.plan];
-        if (plan.limit <= 0 || (found == volumes_.end() && volumes_.size() >= kMaxIntroducedVolumes)) return;
-        auto& volume = volumes_[introduction.volume];
+        if (plan.limit <= 0) return;
+        auto* known = volumes_.findOrAddIfAmple(introduction.volume);
+        if (!known) return;
+        auto& volume = *known;
         if (!volume.plan) {
             volume.lastRequestAt = -1e18;
-            startVolume(introduction.volume, volume, plan, settings_.hosts);
+            startVolume(volume, plan, settings_.hosts);
         }
-        if (volume.hasLimit() && volume.hosts == settings_.hosts) volume.peers[from].heardAt = now_;
-    }
-    void enqueueOrdered(KeyQueue& keyQueue, PendingRequest& pending) {
-        // The previous process may have left an attempt of unknown outcome.
-        keyQueue.blockedUntil = std::max(keyQueue.blockedUntil, startedAt_ + settings_.settleAfterDoubtMs);
-        if (keyQueue.blockedUntil > now_) wakeAt(keyQueue.blockedUntil);
-        keyQueue.requests.push_back(&pending);
+        if (!volume.hasLimit() || volume.hosts != settings_.hosts) return;
+        if (auto* peer = volumes_.findOrAddPeer(volume, from)) peer->heardAt = now_;
+    }
+    // Whether all that is lost with the volume is what it was worth, never what it has spent: without pools a
+    // volume that is met again counts as full, with them as empty.
+    bool mayForget(Volume& volume) {
+        if (volume.openRequests > 0) return false;
+        if (!volume.hasLimit() || usesPools()) return true;
+        refill(volume);
+        return volume.limitShare.isFull();
     }
     void dequeue(PendingRequest& pending) {
         (pending.origin < 0 ? queue_ : permitQueues_[pending.targetShard]).erase(pending.seq);
@@ -609,8 +625,7 @@
     }
     bool isNextOfKey(const PendingRequest& pending) {
         if (!pending.isOrdered()) return true;
-        const auto& keyQueue = keyQueues_[pending.request.key];
-        return keyQueue.requests.front() == &pending && now_ >= keyQueue.blockedUntil;
+        return keyQueues_.isNext(pending, now_);
     }
     // A new object goes to the node that is likely to finish it first; its readers will follow it there.
     Node* selectNode(const PendingRequest& pending) {
@@ -865,7 +880,7 @@
             if (!pending.limitDrawn) drawLimit(*pending.volume, pending.request.units);
             pending.limitDrawn = true;
             if (!pending.attempts.empty() && settings_.retryBudgetSpanMs > 0)
-                retries_.entries.push_back({now_, 1});
+                retries_.add(now_, 1, settings_.retryBudgetSpanMs + kMaxBeginDelayMs);
             consumeEntitlement(pending);
         }
         pending.attempts.push_back({&node, now_, true, isCold(node)});
@@ -932,11 +947,8 @@
         }
         if (result.usage > 0 && settings_.usagePeriodMs > 0)
             pending.volume->entitlement.onUsage((result.usage - 1) / 100 * pending.plan->nominal, now_);
-        if (inDoubt && pending.isOrdered()) {
-            auto& keyQueue = keyQueues_[pending.request.key];
-            keyQueue.blockedUntil = std::max(keyQueue.blockedUntil, now_ + settings_.settleAfterDoubtMs);
-            wakeAt(keyQueue.blockedUntil);
-        }
+        if (inDoubt && pending.isOrdered())
+            wakeAt(keyQueues_.block(pending.request.key, now_ + settings_.settleAfterDoubtMs));
         if (!neverRan && !pending.mayHaveRun) {
             pending.mayHaveRun = true;
             pending.mayHaveRunAt = attempt.sentAt;
@@ -973,10 +985,7 @@
     // Drops the request once it has its answer and no attempt is in flight.
     void removeIfDone(PendingRequest& pending) {
         if (!pending.ended || pending.openAttempts > 0) return;
-        if (pending.isOrdered()) {
-            auto& keyRequests = keyQueues_[pending.request.key].requests;
-            keyRequests.remove(&pending);
-        }
+        if (pending.isOrdered()) keyQueues_.remove(pending, now_);
         dequeue(pending);
         if (pending.origin < 0) {
             releaseReservation(pending);
@@ -1094,7 +1103,7 @@
         if (introductions)
             for (const auto& introduction : *introductions) joinVolume(message.from, introduction);
         if (!report) return;
-        const auto [incarnation, peerSubperiod, figures] = *report;
+        const auto [incarnation, peerSubperiod, reported] = *report;
         auto& peer = peers_[message.from];
         if (!peer.clock.onReport(incarnation, peerSubperiod, now_)) return;
         const auto subperiod = peer.clock.toLocalSubperiod(peerSubperiod, subperiod_, now_);
@@ -1103,7 +1112,7 @@
             const double delay = std::clamp(now_ - subperiodStartedAt_, settings_.tickMs, kMaxPeerWaitMs);
             peerDelay_ += 0.05 * (delay - peerDelay_);
         }
-        for (const auto& entry : figures) {
+        for (const auto& entry : reported) {
             if (entry.sentUnits + entry.queuedUnits > 0)
                 activeHosts_.record(entry.volume, message.from, now_);
             const auto found = volumes_.find(entry.volume);
@@ -1113,7 +1122,9 @@
             if (known == volume.peers.end() &&
                 volume.peers.size() + 1 >= static_cast<std::size_t>(volume.hosts) + kMaxExtraPeers)
                 continue;
-            auto& last = volume.peers[message.from];
+            auto* figures = volumes_.findOrAddPeer(volume, message.from);
+            if (!figures) continue;
+            auto& last = *figures;
             const bool newProcess = known == volume.peers.end() || last.incarnation != incarnation;
             if (newProcess ? last.heardAt > 0 && last.previousIncarnation == incarnation
                            : subperiod <= last.subperiod)
@@ -1135,7 +1146,7 @@
     }
     // Drops a volume that is idle here while as many other hosts as it has report work: its requests come
     // through those hosts, which may draw all of its limit, so the share here is void. True: it was dropped.
-    bool forgetIfMoved(std::map<std::int64_t, Volume>::iterator volumeIt) {
+    bool forgetIfMoved(VolumeTable::iterator volumeIt) {
         const auto& volume = volumeIt->second;
         const bool idle =
             volume.openRequests == 0 && now_ > volume.lastRequestAt + kIdleSubperiods * kSubperiodMs;
@@ -1152,17 +1163,13 @@
         for (auto it = volumes_.begin(); it != volumes_.end();) {
             auto& volume = it->second;
             const double full = volume.hasLimit() ? 2000 * volume.plan->limitBurst / volume.plan->limit : 0;
-            for (auto peer = volume.peers.begin(); peer != volume.peers.end();)
-                peer =
-                    now_ > peer->second.heardAt + kIdleForgetMs ? volume.peers.erase(peer) : std::next(peer);
+            volumes_.removePeersBefore(volume, now_ - kIdleForgetMs);
             const bool idle = volume.openRequests == 0 && volume.peers.empty() &&
                               now_ > volume.lastRequestAt + std::max(kIdleForgetMs, full);
             if (idle) reportAccount(volume, LimitAccount::Moment::Forgotten);
             it = idle ? volumes_.erase(it) : std::next(it);
         }
-        for (auto it = keyQueues_.begin(); it != keyQueues_.end();)
-            it = it->second.requests.empty() && it->second.blockedUntil <= now_ ? keyQueues_.erase(it)
-                                                                                : std::next(it);
+        keyQueues_.removeIdle(now_);
     }
 
     // ---------------------------------------------------------------- timers
@@ -1194,7 +1201,7 @@
     std::map<std::string, Node> nodes_;
     std::map<int, std::set<std::string>> nodesByShard_;  // ids of all known nodes
     std::set<std::string> goneNodes_;                    // may still have attempts in flight
-    std::map<std::int64_t, Volume> volumes_;
+    VolumeTable volumes_;
     ActiveHosts activeHosts_;
     QuotaPool quotaPool_;  // leases to other hosts and to itself
     std::map<int, Peer> peers_;
@@ -1202,7 +1209,7 @@
     std::unordered_map<std::string, std::list<PendingRequest>::iterator> requestsById_;
     std::map<std::uint64_t, PendingRequest*> queue_;                        // own requests that wait, by seq
     std::map<int, std::map<std::uint64_t, PendingRequest*>> permitQueues_;  // of other hosts, by shard
-    std::map<std::int64_t, KeyQueue> keyQueues_;
+    KeyQueues keyQueues_;
     std::map<int, double> backlogUnits_;
     std::unordered_map<const RequestClass*, double> longestTtl_;
     SlidingSum acceptedRequests_, retries_;               // counts
--- a/src/policy/quota_pool.hpp
+++ b/src/policy/quota_pool.hpp
@@ -5,8 +5,8 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <vector>
 
 #include "limit_share.hpp"
 
@@ -21,7 +21,10 @@
 
 class QuotaPool {
   public:
-    explicit QuotaPool(double startedAtMs = 0) : startedAtMs_(startedAtMs) {}
+    // All pools and their leases take at most `maxBytes`; what would need more is not leased.
+    QuotaPool(double startedAtMs, std::size_t maxBytes) : maxBytes_(maxBytes), startedAtMs_(startedAtMs) {}
+    // Sets the start of the process. No lease may have been given.
+    void start(double nowMs) { startedAtMs_ = nowMs; }
     struct Answer {
         double units = 0;         // leased; 0: refused
         double retryAfterMs = 0;  // of a refusal: until the minimum may be available
@@ -46,12 +49,16 @@
     };
     struct Pool {
         TokenBucket part;
-        double level = 0, refilledAtMs = 0;
-        std::deque<Lease> leases;
-
-        void refill(double nowMs);
+        double level = 0, refilledAtMs = 0;  // tokens
+        std::vector<Lease> leases;           // in order of their end
     };
+    bool hasRoom(std::size_t bytes) const;
+    // Refills the pool and drops its leases that are over.
+    void refill(Pool& pool, double nowMs);
+
+    std::size_t maxBytes_;
     double startedAtMs_;
+    std::size_t leases_ = 0;  // of all pools
     std::map<std::int64_t, Pool> pools_;
 };
 
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -24,6 +24,10 @@
 // Amounts with the time at which each was added. Summing drops the entries older than the window.
 struct SlidingSum {
     std::deque<std::pair<double, double>> entries;  // time, amount
+    void add(double at, double amount, double windowMs) {
+        sumSince(at - windowMs);
+        entries.push_back({at, amount});
+    }
     double sumSince(double from) {
         while (!entries.empty() && entries.front().first <= from) entries.pop_front();
         double sum = 0;
@@ -77,6 +81,9 @@
     bool wasShortOfLimit = false;  // in this subperiod
     double nextShortageReportAt = 0;
     int openRequests = 0;
+    // Kept by VolumeTable: whether one request or more came for it, and its place in the order of requests.
+    bool requested = false, requestedAgain = false;
+    std::list<std::int64_t>::iterator place;
     double totalSent = 0, lastRequestAt = 0, announceAfter = 0;
     LimitShare limitShare;
     QuotaClient quota;
@@ -133,12 +140,6 @@
     std::int64_t keyTag() const { return request.key & 0x3fff; }  // the bits of a key that hosts exchange
 };
 
-// The requests of one key of a class that runs in order; the first may be sent once `blockedUntil` is past.
-struct KeyQueue {
-    std::list<PendingRequest*> requests;
-    double blockedUntil = -1e18;
-};
-
 struct Peer {
     double unresponsiveUntil = -1e18;
     PeerClock clock;
--- a/src/policy/volume_entitlement.cpp
+++ b/src/policy/volume_entitlement.cpp
@@ -20,8 +20,10 @@
     reservedLevel_ = std::min(rates.reserved + maxUnits, reservedLevel_ + rates.reserved * elapsedMs / 1000);
     fairLevel_ = std::min(rates.fair + maxUnits, fairLevel_ + rates.fair * elapsedMs / 1000);
     const auto second = static_cast<std::int64_t>(nowMs / 1000);
-    if (seconds_.empty() || seconds_.back().second != second) seconds_.push_back({second, 0, 0});
-    while (seconds_.size() > kMaxSeconds) seconds_.pop_front();
+    if (seconds_.empty() || seconds_.back().second != second) {
+        if (seconds_.size() == kMaxSeconds) seconds_.erase(seconds_.begin());
+        seconds_.push_back({second, 0, 0});
+    }
     const double reserved = std::min(units, reservedLevel_);
     const double fair = std::min(units - reserved, fairLevel_);
     reservedLevel_ -= reserved;
--- a/src/policy/volume_entitlement.hpp
+++ b/src/policy/volume_entitlement.hpp
@@ -6,7 +6,7 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <vector>
 
 namespace spokewheel {
 
@@ -38,7 +38,7 @@
   private:
     double servedRate(double nowMs);
 
-    std::deque<Second> seconds_;
+    std::vector<Second> seconds_;
     double reservedLevel_ = 0, fairLevel_ = 0, refilledAtMs_ = 0, exceededAtMs_ = -1e18;
     double servedUnits_ = 0, servedAtMs_ = 0;  // decays exponentially
     double usageRate_ = -1, usageAtMs_ = -1e18;
