Front: an id is not taken again while it is out or may have run for a client that left

What callers saw: a request whose client left 0.1 s after sending ran a second time when its id came again, for classes that may be repeated and for those that run once. Cause: the open ids forgot an id with its client's connection, not with its last attempt. Such a request gets 409.

--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -58,7 +58,7 @@
   LINKS sw_fronts sw_nodes sw_registry sw_peers sw_log)
 # A layer of its own, although its directory is below src/fronts: the platform's HTTP front must not include anything of
 # the rsync front or the catalogue.
-spokewheel_layer(fronts_http DIRS src/fronts/http SOURCES src/fronts/http/decode_request.cpp src/fronts/http/request_reader.cpp src/fronts/http/read_turns.cpp src/fronts/http/server.cpp src/fronts/http/server_reading.cpp
+spokewheel_layer(fronts_http DIRS src/fronts/http SOURCES src/fronts/http/decode_request.cpp src/fronts/http/request_reader.cpp src/fronts/http/read_turns.cpp src/fronts/http/request_ids.cpp src/fronts/http/server.cpp src/fronts/http/server_reading.cpp
   LINKS sw_host sw_wire_http)
 spokewheel_layer(platform DIRS src/platform
   SOURCES src/platform/configuration.cpp src/platform/dialect.cpp src/platform/startup_node_list.cpp src/platform/change_announcer.cpp src/platform/report.cpp src/platform/platform_daemon.cpp
--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -201,8 +201,8 @@
 }
 
 void Server::submit(const SessionPtr& s, ReceivedRequest request) {
-    if (!openRequestIds_.insert(request.decoded.id).second)
-        return sendError(s, 409, "X-Request-ID is of an open request", CloseReason::Unreadable,
+    if (!ids_.take(request.decoded.id, io::nowMs()))
+        return sendError(s, 409, "X-Request-ID is of another request", CloseReason::Unreadable,
                          request.decoded.id);
     ++counts_.requests;
     s->openId = request.decoded.id;
@@ -220,6 +220,9 @@
         const auto session = weak.lock();
         return *alive && session && clientWaiting(session);
     };
+    work.onRemoved = [this, alive = alive_, id = s->openId](bool answered, bool mayHaveRun) {
+        if (*alive) ids_.release(id, !answered && mayHaveRun, io::nowMs());
+    };
     enterPhase(*s, Phase::Open);
     s->hostRequestId = host_.submit(std::move(work), [this, alive = alive_, s](host::Answer a) {
         if (*alive) onAnswer(s, std::move(a));
@@ -227,7 +230,6 @@
 }
 
 void Server::onAnswer(const SessionPtr& s, host::Answer a) {
-    openRequestIds_.erase(s->openId);
     s->hostRequestId.clear();
     s->openMemory = 0;
     s->readsOn = false;
@@ -304,10 +306,7 @@
     if (onClose_)
         onClose_({reason, s->hostRequestId.empty() ? std::string() : s->openId, s->answers, s->unreadAtClose,
                   s->reader.queue().size()});
-    if (!s->hostRequestId.empty()) {
-        openRequestIds_.erase(s->openId);
-        host_.abandon(std::exchange(s->hostRequestId, {}));
-    }
+    if (!s->hostRequestId.empty()) host_.abandon(std::exchange(s->hostRequestId, {}));
     s->waitsSince = -1;
     s->memory.release();
     sessions_.erase(s->number);
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -10,11 +10,11 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "fronts/http/decide_connections.hpp"
 #include "fronts/http/decode_request.hpp"
 #include "fronts/http/read_turns.hpp"
+#include "fronts/http/request_ids.hpp"
 #include "fronts/http/request_reader.hpp"
 #include "host/host.hpp"
 #include "host/memory_budget.hpp"
@@ -71,7 +71,7 @@
     void stopListening();
     const Counts& counts() const { return counts_; }
     std::size_t connections() const { return sessions_.size(); }
-    std::size_t openRequestIds() const { return openRequestIds_.size(); }
+    std::size_t openRequestIds() const { return ids_.open(); }
     int port() const { return listener_->port(); }
 
   private:
@@ -125,7 +125,7 @@
     std::deque<std::uint64_t> waiting_;  // numbers of sessions that wait for memory, and of ended ones
     std::uint64_t nextSession_ = 0;
     std::unordered_map<std::uint64_t, SessionPtr> sessions_;
-    std::unordered_set<std::string> openRequestIds_;
+    RequestIds ids_;
     bool reportsReady_ = false, expectsConnections_ = true, draining_ = false, listening_ = true;
     std::function<void()> onEmpty_;
     std::function<void(const ClosedConnection&)> onClose_;
--- a/src/host/attempt_guard.cpp
+++ b/src/host/attempt_guard.cpp
@@ -11,9 +11,6 @@
 // The scheduler is given the remaining time a moment later than the guard, so its deadline may be later too.
 constexpr double kClockToleranceMs = 1;
 
-bool hasNotRun(Outcome outcome) {
-    return outcome == Outcome::Rejected || outcome == Outcome::NoConnection || outcome == Outcome::NotSent;
-}
 void dropBefore(std::deque<double>& times, double from) {
     while (!times.empty() && times.front() <= from) times.pop_front();
 }
--- a/src/host/attempt_guard.hpp
+++ b/src/host/attempt_guard.hpp
@@ -14,6 +14,11 @@
 
 namespace spokewheel::host {
 
+// Whether an attempt with this outcome is known not to have run.
+inline bool hasNotRun(Outcome outcome) {
+    return outcome == Outcome::Rejected || outcome == Outcome::NoConnection || outcome == Outcome::NotSent;
+}
+
 class AttemptGuard {
   public:
     AttemptGuard(const Settings& settings, invariants::Monitor& monitor);
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -103,8 +103,7 @@
         note(RequestNote::Kind::LeftOpen, id, found->second, "", "", found->second.openAttempts);
     withdrawAttempts(found->second);
     if (!found->second.inScheduler) {
-        guard_.onRemoved(id);
-        requests_.erase(found);
+        remove(id);
     } else {
         queueEvent(ClientGone{id});
         if (found->second.openAttempts == 0) erase(id);
@@ -215,6 +214,7 @@
     auto& request = found->second;
     --request.openAttempts;
     request.lastOutcome = result.outcome;
+    request.mayHaveRun = request.mayHaveRun || !hasNotRun(result.outcome);
     guard_.onEnded(id, attempt, result.outcome);
     ++counters_.outcomes[result.outcome];
     logEvent("outcome", id, node, std::to_string(static_cast<int>(result.outcome)));
@@ -244,6 +244,7 @@
     const auto found = requests_.find(id);
     if (found == requests_.end() || !found->second.done) return;
     const auto done = std::exchange(found->second.done, nullptr);
+    found->second.answered = true;
     guard_.onAnswered(id);
     ++(answer.kind == Answer::Kind::Served    ? counters_.served
        : answer.kind == Answer::Kind::Refused ? counters_.refused
@@ -253,9 +254,17 @@
     done(std::move(answer));
 }
 
-void Host::erase(const std::string& id) {
+void Host::remove(const std::string& id) {
     guard_.onRemoved(id);
-    requests_.erase(id);
+    const auto found = requests_.find(id);
+    const auto onRemoved = std::move(found->second.spec.onRemoved);
+    const bool answered = found->second.answered, mayHaveRun = found->second.mayHaveRun;
+    requests_.erase(found);
+    if (onRemoved) onRemoved(answered, mayHaveRun);
+}
+
+void Host::erase(const std::string& id) {
+    remove(id);
     --inScheduler_;
     if (!waiting_.empty() && !stepTimer_.armed()) stepTimer_.arm(0, [this] { step(); });
 }
--- a/src/host/host.hpp
+++ b/src/host/host.hpp
@@ -32,6 +32,9 @@
     // Whether the client is still connected, checked directly before the first byte of each attempt; may call
     // abandon(). Empty: not known.
     std::function<bool()> clientWaiting;
+    // Called once nothing is left of the request: it was answered or abandoned, and none of its attempts is
+    // open. `mayHaveRun`: one of them may have. May be empty.
+    std::function<void(bool answered, bool mayHaveRun)> onRemoved;
     std::shared_ptr<const NodeRequest> nodeRequest;
 };
 
@@ -116,6 +119,7 @@
         Done done;  // empty once answered or abandoned
         double deadline = 0;
         bool inScheduler = false;  // has left `waiting_`
+        bool answered = false, mayHaveRun = false;
         int attempts = 0, openAttempts = 0;
         Outcome lastOutcome = Outcome::NotSent;  // of the attempt that ended last
         std::vector<std::uint64_t> sends;        // ids of the transport, by attempt
@@ -142,6 +146,7 @@
         if (dependencies_.logEvent) dependencies_.logEvent(event, id, node, words);
     }
     void erase(const std::string& id);
+    void remove(const std::string& id);
     void note(RequestNote::Kind kind, const std::string& id, const Request& request, const char* reason,
               const std::string& node = {}, int attempt = 0);
 
