Front: one strict reader of requests, whose every refusal names the sentence it rests on

What callers saw: requests that are not sound were passed on to disk servers and answered 200. The grammar is in wire/http/grammar.*, the checks of a whole head in fronts/http/check_request.*. Methods are compared with classes only where the settings tell which classes write. Answers of disk servers are read as before.

--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -29,7 +29,7 @@
   target_link_libraries(sw_${name} PUBLIC ${L_LINKS} PRIVATE spokewheel_options)
 endfunction()
 
-spokewheel_layer(wire_http DIRS src/wire/http SOURCES src/wire/http/message.cpp src/wire/http/digest.cpp
+spokewheel_layer(wire_http DIRS src/wire/http SOURCES src/wire/http/message.cpp src/wire/http/grammar.cpp src/wire/http/request_rule.cpp src/wire/http/digest.cpp
   LINKS PkgConfig::NETTLE)
 spokewheel_layer(wire_rsync DIRS src/wire/rsync
   SOURCES src/wire/rsync/bytes.cpp src/wire/rsync/mux.cpp src/wire/rsync/file_list.cpp src/wire/rsync/tokens.cpp
@@ -58,7 +58,7 @@
   LINKS sw_fronts sw_nodes sw_registry sw_peers sw_log)
 # A layer of its own, although its directory is below src/fronts: the platform's HTTP front must not include anything of
 # the rsync front or the catalogue.
-spokewheel_layer(fronts_http DIRS src/fronts/http SOURCES src/fronts/http/decode_request.cpp src/fronts/http/request_reader.cpp src/fronts/http/read_turns.cpp src/fronts/http/request_ids.cpp src/fronts/http/server.cpp src/fronts/http/server_reading.cpp
+spokewheel_layer(fronts_http DIRS src/fronts/http SOURCES src/fronts/http/check_request.cpp src/fronts/http/decode_request.cpp src/fronts/http/request_reader.cpp src/fronts/http/read_turns.cpp src/fronts/http/request_ids.cpp src/fronts/http/server.cpp src/fronts/http/server_reading.cpp
   LINKS sw_host sw_wire_http)
 spokewheel_layer(platform DIRS src/platform
   SOURCES src/platform/configuration.cpp src/platform/dialect.cpp src/platform/startup_node_list.cpp src/platform/change_announcer.cpp src/platform/report.cpp src/platform/platform_daemon.cpp
--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -38,8 +38,9 @@
         return;
     }
     const auto decoded = fronts::http::decodeRequest(parser.head(), known);
-    if (decoded.status) {
-        if (decoded.status < 400 || decoded.status > 499 || decoded.error.empty()) std::abort();
+    if (decoded.violated) {
+        const auto& rule = wire::http::infoOf(*decoded.violated);
+        if (rule.status < 400 || rule.status > 499 || !*rule.words || !*rule.source) std::abort();
         return;
     }
     const auto& work = decoded.work;
--- a/include/spokewheel/scheduler.hpp
+++ b/include/spokewheel/scheduler.hpp
@@ -57,6 +57,7 @@
 
 struct Settings {
     std::vector<RequestClass> classes;
+    bool classesTellWrites = false;  // RequestClass::writes is known
     std::vector<Plan> plans;
     int hosts = 1, rank = 0;
     bool subscribe = false;  // the node list is sent only on a Subscribe action
--- a/src/fronts/http/decode_request.cpp
+++ b/src/fronts/http/decode_request.cpp
@@ -5,9 +5,13 @@
 #include <cmath>
 #include <optional>
 
+#include "fronts/http/check_request.hpp"
+
 namespace spokewheel::fronts::http {
 namespace {
 
+using wire::http::RequestRule;
+
 constexpr std::size_t kMaxIdLength = 128;
 constexpr double kMaxTimeoutMs = 3600000;
 constexpr int kMaxHosts = 100000;
@@ -45,42 +49,30 @@
     return token;
 }
 
-// A field that may have one value only. Repeated fields with different values are rejected, as another reader
-// of the request might use the other one.
-struct SingleValue {
-    std::optional<std::string_view> value;
-    bool conflicting = false;
-};
-SingleValue singleValue(const wire::http::Head& head, std::string_view name) {
-    SingleValue out;
-    const auto* first = head.find(name);
-    if (!first) return out;
-    out.value = *first;
-    for (const auto& [key, value] : head.fields)
-        if (wire::http::equalsIgnoreCase(key, name) && value != *first) out.conflicting = true;
-    return out;
-}
-
 template <class T>
-bool containsName(const std::vector<T>& list, std::string_view name) {
-    return std::any_of(list.begin(), list.end(), [name](const T& item) { return item.name == name; });
+const T* findByName(const std::vector<T>& list, std::string_view name) {
+    const auto found =
+        std::find_if(list.begin(), list.end(), [name](const T& item) { return item.name == name; });
+    return found == list.end() ? nullptr : &*found;
 }
 
+// Thrown while a request is decoded: the rule that it violates.
 struct RequestError {
-    std::string message;  // the response body
-    int status = 400;
+    RequestRule rule;
 };
 
-std::string_view requiredField(const wire::http::Head& head, const char* name) {
-    const auto found = singleValue(head, name);
-    if (!found.value) throw RequestError{std::string(name) + " is missing"};
-    if (found.conflicting) throw RequestError{std::string(name) + " comes twice and differs"};
-    return *found.value;
+void require(bool holds, RequestRule rule) {
+    if (!holds) throw RequestError{rule};
+}
+
+std::string_view requiredField(const wire::http::Head& head, const char* name, RequestRule rule) {
+    const auto* value = head.find(name);
+    require(value != nullptr, rule);
+    return *value;
 }
 
 // Parses "volume=00000003b4d60021,units=2,shard=5,hosts=3"; other entries are ignored.
 void parseXIo(std::string_view text, host::RequestSpec& work) {
-    const RequestError error{"X-IO: volume, units, shard and hosts are wanted, each once"};
     int seen = 0;
     while (!text.empty()) {
         auto value = nextToken(text, ',');
@@ -93,49 +85,58 @@
         else if (name == "shard") valid = parseInteger(value, work.shard) && work.shard >= -1, bit = 4;
         else if (name == "hosts")
             valid = parseInteger(value, work.hosts) && work.hosts >= 1 && work.hosts <= kMaxHosts, bit = 8;
-        if (!valid || (seen & bit)) throw error;
+        require(valid && !(seen & bit), RequestRule::Io);
         seen |= bit;
     }
-    if (seen != 15) throw error;
+    require(seen == 15, RequestRule::Io);
 }
 
-void decode(const wire::http::Head& head, const Settings& settings, DecodedRequest& out) {
-    auto& work = out.work;
-    if (head.method != "GET" && head.method != "PUT") throw RequestError{"method: GET or PUT is wanted", 405};
-    requiredField(head, "Host");
-    if (head.target.front() != '/') throw RequestError{"target: a path is wanted"};
-    if (std::any_of(head.target.begin(), head.target.end(),
-                    [](unsigned char c) { return c <= 32 || c >= 127; }))
-        throw RequestError{"target: bytes that no path has"};
+// Reads "block=7f3a9c21e0b4d655" among other cookies. Without it the request has no key.
+void parseCookie(std::string_view text, host::RequestSpec& work) {
+    bool seen = false;
+    while (!text.empty()) {
+        auto value = nextToken(text, ';');
+        if (nextToken(value, '=') != "block") continue;
+        require(!seen && parseHex16(value, work.key), RequestRule::Key);
+        seen = true;
+    }
+}
+
+bool isVisible(std::string_view text) {
+    return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 32 && c < 127; });
+}
+
+const RequestClass& classOf(const wire::http::Head& head, const Settings& settings) {
     auto path = std::string_view(head.target).substr(1);
     path = path.substr(0, path.find_first_of("/?"));
-    if (!containsName(settings.classes, path)) throw RequestError{"class is not known", 404};
-    if (requiredField(head, "X-Priority-Class") != path)
-        throw RequestError{"X-Priority-Class differs from the path"};
-    work.requestClass = path;
-    work.plan = requiredField(head, "X-Plan");
-    if (!containsName(settings.plans, work.plan)) throw RequestError{"X-Plan is not known"};
-    out.id = requiredField(head, "X-Request-ID");
-    if (out.id.empty() || out.id.size() > kMaxIdLength ||
-        std::any_of(out.id.begin(), out.id.end(), [](unsigned char c) { return c <= 32 || c >= 127; }))
-        throw RequestError{"X-Request-ID: 1 to 128 visible characters are wanted"};
+    const auto* requestClass = findByName(settings.classes, path);
+    require(requestClass != nullptr, RequestRule::UnknownClass);
+    require(requiredField(head, "X-Priority-Class", RequestRule::ClassOfPath) == path,
+            RequestRule::ClassOfPath);
+    return *requestClass;
+}
+
+void decode(const wire::http::Head& head, const Settings& settings, DecodedRequest& out) {
+    auto& work = out.work;
+    // First, so that a refusal can be logged with it.
+    const auto* id = head.find("X-Request-ID");
+    const bool validId = id && !id->empty() && id->size() <= kMaxIdLength && isVisible(*id);
+    if (validId) out.id = *id;
+    if (const auto rule = violatedRule(head)) throw RequestError{*rule};
+    const auto& requestClass = classOf(head, settings);
+    work.requestClass = requestClass.name;
+    const bool writes = head.method == "PUT";
+    require(!settings.classesTellWrites || requestClass.writes == writes, RequestRule::MethodOfClass);
+    work.plan = requiredField(head, "X-Plan", RequestRule::UnknownPlan);
+    require(findByName(settings.plans, work.plan) != nullptr, RequestRule::UnknownPlan);
+    require(validId, RequestRule::RequestId);
     long ttl = 0;
-    if (!parseInteger(requiredField(head, "X-Timeout-Ms"), ttl) || ttl < 0 ||
-        static_cast<double>(ttl) > kMaxTimeoutMs)
-        throw RequestError{"X-Timeout-Ms: whole milliseconds are wanted"};
+    require(parseInteger(requiredField(head, "X-Timeout-Ms", RequestRule::Timeout), ttl) && ttl >= 0 &&
+                static_cast<double>(ttl) <= kMaxTimeoutMs,
+            RequestRule::Timeout);
     work.ttlMs = static_cast<double>(ttl);
-    parseXIo(requiredField(head, "X-IO"), work);
-    if (const auto cookie = singleValue(head, "Cookie"); cookie.value) {
-        auto text = *cookie.value;
-        bool seen = false;
-        while (!text.empty()) {
-            auto value = nextToken(text, ';');
-            if (nextToken(value, '=') != "block") continue;
-            if (seen || cookie.conflicting || !parseHex16(value, work.key))
-                throw RequestError{"Cookie: block is 16 hex digits"};
-            seen = true;
-        }
-    }
+    parseXIo(requiredField(head, "X-IO", RequestRule::Io), work);
+    if (const auto* cookie = head.find("Cookie")) parseCookie(*cookie, work);
 }
 
 // Whether a field is passed on to the disk server. Unknown fields are, as they may hold the key by which it
@@ -161,8 +162,7 @@
     try {
         decode(head, settings, out);
     } catch (const RequestError& error) {
-        out.status = error.status;
-        out.error = error.message;
+        out.violated = error.rule;
         return out;
     }
     auto nodeRequest = std::make_shared<host::NodeRequest>();
--- a/src/fronts/http/decode_request.hpp
+++ b/src/fronts/http/decode_request.hpp
@@ -3,6 +3,7 @@
 // module.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "host/host.hpp"
@@ -12,9 +13,8 @@
 namespace spokewheel::fronts::http {
 
 struct DecodedRequest {
-    int status = 0;          // 0: valid request; otherwise a 4xx status, with `error` as the response body
-    std::string error;       // what is wrong, naming the field
-    std::string id;          // X-Request-ID as received
+    std::optional<wire::http::RequestRule> violated;  // nothing: a valid request
+    std::string id;                                   // X-Request-ID as received; empty where it is none
     host::RequestSpec work;  // its node request has no body yet; arrivedMs is not set
 };
 
@@ -22,8 +22,8 @@
 // were observed. An answer that announces more than this is not waited for.
 constexpr std::uint64_t kMaxBodyBytes = 64 * 1024, kMaxAnswerBytes = 2 * 1024 * 1024;
 
-// Rejects anything that two implementations could interpret differently, unknown classes and plans, and
-// numbers out of range.
+// Refuses requests that are not sound (wire/http/request_rule.hpp), which two implementations could interpret
+// differently, and such with unknown classes and plans or with numbers out of range.
 DecodedRequest decodeRequest(const wire::http::Head& head, const Settings& settings);
 
 }  // namespace spokewheel::fronts::http
--- a/src/fronts/http/request_reader.cpp
+++ b/src/fronts/http/request_reader.cpp
@@ -2,10 +2,12 @@
 
 #include <utility>
 
+#include "fronts/http/check_request.hpp"
+
 namespace spokewheel::fronts::http {
 
 std::size_t ReceivedRequest::memory() const {
-    std::size_t bytes = kRequestOverheadBytes + body.capacity() + error.capacity();
+    std::size_t bytes = kRequestOverheadBytes + body.capacity();
     if (!decoded.work.nodeRequest) return bytes;
     for (const auto& [name, value] : decoded.work.nodeRequest->fields)
         bytes += kHeadMemoryFactor * (name.size() + value.size());
@@ -44,12 +46,9 @@
                 if (current_.kind == ReceivedRequest::Kind::Valid) current_.body += body;
                 break;
             case Parsed::End:
-                if (current_.kind == ReceivedRequest::Kind::Valid && !current_.body.empty() &&
-                    current_.decoded.work.nodeRequest->method == "GET")
-                    return fail(400, "a GET with a body");
                 return finish(current_.kind);
             case Parsed::Invalid:
-                return fail(400, parser_.error());
+                return fail(parser_.rule());
         }
 }
 
@@ -57,11 +56,12 @@
     const auto& head = parser_.head();
     awaitsDecision_ = true;
     if (head.method == "GET" && head.target == "/ready") {
+        if (const auto rule = violatedRule(head)) return fail(*rule);
         current_.kind = ReceivedRequest::Kind::ReadinessCheck;
         return Result::NeedMemory;
     }
     current_.decoded = decodeRequest(head, settings_);
-    if (current_.decoded.status) return fail(current_.decoded.status, current_.decoded.error);
+    if (current_.decoded.violated) return fail(*current_.decoded.violated);
     const auto* expect = head.find("Expect");
     expectsContinue_ = expect && wire::http::equalsIgnoreCase(*expect, "100-continue");
     return Result::NeedMemory;
@@ -104,9 +104,8 @@
     queue_.push_back(std::move(request));
 }
 
-RequestReader::Result RequestReader::fail(int status, std::string error) {
-    current_.status = status;
-    current_.error = std::move(error);
+RequestReader::Result RequestReader::fail(wire::http::RequestRule rule) {
+    current_.rule = rule;
     return finish(ReceivedRequest::Kind::Invalid);
 }
 
--- a/src/fronts/http/request_reader.hpp
+++ b/src/fronts/http/request_reader.hpp
@@ -23,10 +23,9 @@
         Refused,         // valid, or a readiness check, but there is no memory for it
         Invalid          // ends its connection; nothing after it is read
     } kind = Kind::Valid;
-    DecodedRequest decoded;  // of Valid
-    std::string body;        // of Valid
-    int status = 0;          // of Invalid, with `error` as the response body
-    std::string error;
+    DecodedRequest decoded;                                               // of Valid
+    std::string body;                                                     // of Valid
+    wire::http::RequestRule rule = wire::http::RequestRule::RequestLine;  // of Invalid: what it violates
     bool last = false;      // the client wants the connection closed after the answer
     double arrivedAt = 0;   // of its last byte
     std::size_t count = 1;  // Refused: this many in a row
@@ -70,7 +69,7 @@
   private:
     Result onHead();
     Result finish(ReceivedRequest::Kind kind);
-    Result fail(int status, std::string error);
+    Result fail(wire::http::RequestRule rule);
     void enqueue(ReceivedRequest request);
 
     const Settings& settings_;
--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -9,6 +9,7 @@
 namespace spokewheel::fronts::http {
 
 using Phase = ConnectionState::Phase;
+using wire::http::RequestRule;
 
 namespace {
 
@@ -125,7 +126,7 @@
     }
     for (const auto& [s, decision] : ending)
         if (decision.action == CloseAction::ErrorThenShutDown)
-            sendError(s, 408, "the request did not come whole in time", decision.reason);
+            sendError(s, RequestRule::NotWholeInTime, decision.reason);
         else if (decision.action == CloseAction::ShutDown) shutDown(s, decision.reason);
         else close(s, decision.reason);
     if (draining_ && onEmpty_ && sessions_.empty() && !listener_->hasPending()) {
@@ -196,14 +197,13 @@
         case ReceivedRequest::Kind::Refused:
             return sendAnswer(s, 503, {}, "", request.last);
         case ReceivedRequest::Kind::Invalid:
-            return sendError(s, request.status, request.error, CloseReason::Unreadable, request.decoded.id);
+            return sendError(s, request.rule, CloseReason::Unreadable, request.decoded.id);
     }
 }
 
 void Server::submit(const SessionPtr& s, ReceivedRequest request) {
     if (!ids_.take(request.decoded.id, io::nowMs()))
-        return sendError(s, 409, "X-Request-ID is of another request", CloseReason::Unreadable,
-                         request.decoded.id);
+        return sendError(s, RequestRule::IdInUse, CloseReason::Unreadable, request.decoded.id);
     ++counts_.requests;
     s->openId = request.decoded.id;
     s->openIsLast = request.last;
@@ -268,12 +268,15 @@
     else enterPhase(*s, Phase::Idle);
 }
 
-void Server::sendError(const SessionPtr& s, int status, const std::string& message, CloseReason reason,
+void Server::sendError(const SessionPtr& s, RequestRule rule, CloseReason reason,
                        const std::string& request) {
     ++counts_.errors;
-    if (onRejected_) onRejected_({status, request, message});
+    ++counts_.rejected[static_cast<std::size_t>(rule)];
+    if (onRejected_) onRejected_({rule, request});
     s->failed = true;
-    sendAnswer(s, status, {{"Content-Type", "text/plain"}}, message + "\n", true, reason);
+    const auto& info = wire::http::infoOf(rule);
+    const auto body = std::string(info.words) + " (" + info.source + ")\n";
+    sendAnswer(s, info.status, {{"Content-Type", "text/plain"}}, body, true, reason);
 }
 
 // Closes in stages (RFC 9112, section 9.6): shuts down the write side once the queue is sent, and closes the
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -31,6 +31,7 @@
         std::uint64_t memoryWaits = 0, memoryRefusals = 0;  // requests that there was no memory for
         std::uint64_t hiddenEnds = 0;  // requests refused as their client may have left unnoticed
         std::array<std::uint64_t, static_cast<std::size_t>(CloseReason::Count)> closes{};
+        std::array<std::uint64_t, static_cast<std::size_t>(wire::http::RequestRule::Count)> rejected{};
         std::size_t peakConnections = 0;
     };
     // A connection that has ended; for the log.
@@ -43,8 +44,8 @@
     };
     // An error answer of this server itself; for the log. `request`: its X-Request-ID, empty if unknown.
     struct RejectedRequest {
-        int status = 0;
-        std::string request, reason;
+        wire::http::RequestRule rule;
+        std::string request;
     };
     void onClose(std::function<void(const ClosedConnection&)> callback) { onClose_ = std::move(callback); }
     void onRejected(std::function<void(const RejectedRequest&)> callback) {
@@ -108,8 +109,8 @@
     void onAnswer(const SessionPtr& s, host::Answer answer);
     void sendAnswer(const SessionPtr& s, int status, wire::http::Fields fields, const std::string& body,
                     bool last, CloseReason reason = CloseReason::LastAnswer);
-    void sendError(const SessionPtr& s, int status, const std::string& message,
-                   CloseReason reason = CloseReason::Unreadable, const std::string& request = {});
+    void sendError(const SessionPtr& s, wire::http::RequestRule rule, CloseReason reason,
+                   const std::string& request = {});
     void shutDown(const SessionPtr& s, CloseReason reason);
     void close(const SessionPtr& s, CloseReason reason);
     void checkClose(const Session& s);
--- a/src/platform/report.cpp
+++ b/src/platform/report.cpp
@@ -98,8 +98,7 @@
 }
 
 void logRejectedRequest(log::Log& log, const fronts::http::Server::RejectedRequest& rejected) {
-    log.event(Level::Info, "request_rejected",
-              {{"id", rejected.request}, {"status", text(rejected.status)}, {"reason", rejected.reason}},
+    log.event(Level::Info, "request_rejected", {{"id", rejected.request}, {"rule", nameOf(rejected.rule)}},
               io::nowMs(), kMaxRequestLinesPerSecond);
 }
 
@@ -133,6 +132,8 @@
               now);
     log.event(Level::Info, "pulse_closes",
               {{"client_closes", countsByName<fronts::http::CloseReason>(server.closes)}}, now);
+    log.event(Level::Info, "pulse_rejected",
+              {{"by_rule", countsByName<wire::http::RequestRule>(server.rejected)}}, now);
     log.event(Level::Info, "pulse_memory",
               {{"used", text(sources.memory.used())},
                {"most", text(sources.memory.peak())},
--- a/src/platform/report.hpp
+++ b/src/platform/report.hpp
@@ -27,10 +27,10 @@
 };
 
 // Logs the events `pulse` (requests), `pulse_ends` (why requests and attempts ended), `pulse_closes` (why
-// client connections ended), `pulse_memory` (the memory of requests and answers, in bytes), `pulse_state`
-// (entries of each table, the process's largest memory and its longest loop iteration), `pulse_links`
-// (why node connections ended), `pulse_watch` (faults of the node list watch) and `pulse_work` (errors,
-// scheduler steps, connections, peer messages).
+// client connections ended), `pulse_rejected` (requests that were not sound, by rule), `pulse_memory` (the
+// memory of requests and answers, in bytes), `pulse_state` (entries of each table, the process's largest
+// memory and its longest loop iteration), `pulse_links` (why node connections ended), `pulse_watch` (faults
+// of the node list watch) and `pulse_work` (errors, scheduler steps, connections, peer messages).
 void logCounters(log::Log& log, const CounterSources& sources);
 
 // Log events about single requests and connections, at most kMaxRequestLinesPerSecond of each kind.
--- a/src/settings/flat_settings.cpp
+++ b/src/settings/flat_settings.cpp
@@ -62,6 +62,7 @@
     const auto writes = flat.flags("domain.class-writes");
     if (!writes.empty() && writes.size() != settings.classes.size())
         throw SettingError("domain.class-writes", "one value for each class");
+    settings.classesTellWrites = !writes.empty();
     for (std::size_t i = 0; i < settings.classes.size(); ++i) {
         auto& requestClass = settings.classes[i];
         const auto prefix = "classes." + std::to_string(i) + ".";
--- a/src/wire/http/message.cpp
+++ b/src/wire/http/message.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <utility>
 
+#include "wire/http/grammar.hpp"
+
 namespace spokewheel::wire::http {
 namespace {
 
@@ -12,13 +14,6 @@
     return a.size() == b.size() &&
            std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return toLower(x) == toLower(y); });
 }
-// The grammar of field names and methods (RFC 9110, 5.6.2).
-bool isToken(std::string_view text) {
-    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-        return (c >= '0' && c <= '9') || (toLower(c) >= 'a' && toLower(c) <= 'z') ||
-               std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-    });
-}
 std::string_view trimmed(std::string_view text) {
     while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
     while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
@@ -55,6 +50,8 @@
             return "Not Found";
         case 405:
             return "Method Not Allowed";
+        case 408:
+            return "Request Timeout";
         case 409:
             return "Conflict";
         case 412:
@@ -98,8 +95,8 @@
     noBody_ = closesConnection_ = false;
 }
 
-Parser::Result Parser::fail(std::string why) {
-    error_ = std::move(why);
+Parser::Result Parser::fail(RequestRule rule) {
+    rule_ = rule;
     state_ = State::Failed;
     return Result::Invalid;
 }
@@ -113,7 +110,7 @@
     const bool chunkLine = state_ == State::ChunkSize || state_ == State::ChunkEnd;
     if (!chunkLine) headBytes_ += take;
     if (headBytes_ > limits_.maxHeadBytes || line_.size() + take > limits_.maxHeadBytes) {
-        fail("head larger than " + std::to_string(limits_.maxHeadBytes) + " bytes");
+        fail(RequestRule::HeadSize);
         return false;
     }
     line_.append(in.substr(0, take));
@@ -124,40 +121,79 @@
     return true;
 }
 
-bool Parser::parseStartLine() {
+bool Parser::parseVersion(std::string_view version) {
+    isOldVersion_ = closesConnection_ = version == "HTTP/1.0";
+    return isOldVersion_ || version == "HTTP/1.1";
+}
+
+bool Parser::parseRequestLine() {
     const std::string_view line = line_;
     const auto firstSpace = line.find(' '), secondSpace = line.find(' ', firstSpace + 1);
-    if (kind_ == Kind::Request) {
-        if (firstSpace == line.npos || secondSpace == line.npos ||
-            line.find(' ', secondSpace + 1) != line.npos)
-            return false;
-        const auto version = line.substr(secondSpace + 1);
-        if (version != "HTTP/1.1" && version != "HTTP/1.0") return false;
-        closesConnection_ = version == "HTTP/1.0";
-        head_.method = line.substr(0, firstSpace);
-        head_.target = line.substr(firstSpace + 1, secondSpace - firstSpace - 1);
-        return isToken(head_.method) && !head_.target.empty();
-    }
+    if (firstSpace == line.npos || secondSpace == line.npos || line.find(' ', secondSpace + 1) != line.npos)
+        return fail(RequestRule::RequestLine), false;
+    head_.method = line.substr(0, firstSpace);
+    head_.target = line.substr(firstSpace + 1, secondSpace - firstSpace - 1);
+    if (!isToken(head_.method) || head_.target.empty()) return fail(RequestRule::RequestLine), false;
+    if (!parseVersion(line.substr(secondSpace + 1))) return fail(RequestRule::Version), false;
+    return true;
+}
+
+bool Parser::parseStatusLine() {
+    const std::string_view line = line_;
+    const auto firstSpace = line.find(' ');
     const auto version = line.substr(0, std::min(firstSpace, line.size()));
-    if (version != "HTTP/1.1" && version != "HTTP/1.0") return false;
-    closesConnection_ = version == "HTTP/1.0";
+    if (!parseVersion(version)) return fail(RequestRule::Version), false;
     if (firstSpace == line.npos || line.size() < firstSpace + 4 ||
         (line.size() > firstSpace + 4 && line[firstSpace + 4] != ' '))
-        return false;
+        return fail(RequestRule::RequestLine), false;
     if (line.size() > firstSpace + 5) head_.reason = line.substr(firstSpace + 5);
-    return parseNumber(line.substr(firstSpace + 1, 3), head_.status) && head_.status >= 100;
+    if (parseNumber(line.substr(firstSpace + 1, 3), head_.status) && head_.status >= 100) return true;
+    return fail(RequestRule::RequestLine), false;
 }
 
-bool Parser::parseField(std::string_view line) {
+// Checks the field line in line_ and splits it. Responses may hold control characters in values, which are
+// only passed over; RFC 9110, 5.5 allows to retain them.
+bool Parser::splitField(std::string_view& name, std::string_view& value) {
+    const std::string_view line = line_;
     const auto colon = line.find(':');
-    if (colon == line.npos || !isToken(line.substr(0, colon)) || head_.fields.size() >= limits_.maxFields)
-        return false;
-    const auto value = trimmed(line.substr(colon + 1));
-    if (value.find('\0') != value.npos || value.find('\r') != value.npos) return false;
-    head_.fields.emplace_back(line.substr(0, colon), value);
+    name = line.substr(0, std::min(colon, line.size()));
+    if (colon == line.npos || !isToken(name)) return fail(RequestRule::FieldLine), false;
+    value = trimmed(line.substr(colon + 1));
+    const bool valid = kind_ == Kind::Request
+                           ? isFieldValue(value)
+                           : value.find('\0') == value.npos && value.find('\r') == value.npos;
+    return valid || (fail(RequestRule::FieldValue), false);
+}
+
+bool Parser::parseField() {
+    std::string_view name, value;
+    if (!splitField(name, value)) return false;
+    if (head_.fields.size() >= limits_.maxFields) return fail(RequestRule::FieldCount), false;
+    head_.fields.emplace_back(name, value);
     return true;
 }
 
+bool Parser::parseTrailerField() {
+    std::string_view name, value;
+    return kind_ == Kind::Response || splitField(name, value) || (fail(RequestRule::Trailer), false);
+}
+
+// Reads "chunk-size [ chunk-ext ]" into bodyBytesLeft_. In responses spaces around the size are passed over.
+bool Parser::parseChunkSize() {
+    const std::string_view line = line_;
+    const auto digits = std::min(line.find_first_not_of("0123456789abcdefABCDEF"), line.size());
+    const auto size =
+        kind_ == Kind::Request ? line.substr(0, digits) : trimmed(line.substr(0, line.find(';')));
+    if (!parseNumber(size, bodyBytesLeft_, 16)) return fail(RequestRule::Chunk), false;
+    if (kind_ == Kind::Request && !isChunkExtensions(line.substr(digits))) {
+        const bool hasExtension = line.find(';') != line.npos;
+        return fail(hasExtension ? RequestRule::ChunkExtension : RequestRule::Chunk), false;
+    }
+    bodyBytesSeen_ += bodyBytesLeft_;
+    if (bodyBytesLeft_ <= limits_.maxBodyBytes && bodyBytesSeen_ <= limits_.maxBodyBytes) return true;
+    return fail(RequestRule::BodySize), false;
+}
+
 // Determines the length of the body (RFC 9112, 6.3). A message with both Content-Length and
 // Transfer-Encoding, or with lengths that differ, is refused: two parsers could disagree where the next
 // message starts.
@@ -170,20 +206,20 @@
             else if (listContains(value, "keep-alive")) closesConnection_ = false;
         }
         if (caseInsensitiveEqual(name, "transfer-encoding")) {
-            if (!caseInsensitiveEqual(value, "chunked") || chunked)
-                return fail("transfer-encoding other than chunked");
+            if (!caseInsensitiveEqual(value, "chunked") || chunked) return fail(RequestRule::TransferCoding);
             chunked = true;
         }
         if (!caseInsensitiveEqual(name, "content-length")) continue;
         std::uint64_t length = 0;
-        if (!parseNumber(value, length) || (lengthKnown && length != bodyBytesLeft_))
-            return fail("content-length is not one number");
+        if (!parseNumber(value, length)) return fail(RequestRule::ContentLength);
+        if (lengthKnown && (kind_ == Kind::Request || length != bodyBytesLeft_))
+            return fail(RequestRule::ContentLength);
         bodyBytesLeft_ = length;
         lengthKnown = true;
     }
-    if (chunked && lengthKnown) return fail("both content-length and transfer-encoding");
-    if (bodyBytesLeft_ > limits_.maxBodyBytes)
-        return fail("body larger than " + std::to_string(limits_.maxBodyBytes) + " bytes");
+    if (chunked && lengthKnown) return fail(RequestRule::LengthAndCoding);
+    if (chunked && kind_ == Kind::Request && isOldVersion_) return fail(RequestRule::CodingOfOldVersion);
+    if (bodyBytesLeft_ > limits_.maxBodyBytes) return fail(RequestRule::BodySize);
     const bool empty = kind_ == Kind::Response &&
                        (noBody_ || head_.status < 200 || head_.status == 204 || head_.status == 304);
     if (empty) bodyBytesLeft_ = 0, chunked = false, lengthKnown = true;
@@ -210,20 +246,21 @@
             case State::StartLine:
                 if (!readLine(in)) return state_ == State::Failed ? Result::Invalid : Result::NeedMore;
                 if (line_.empty()) break;  // empty lines before the start line are skipped (RFC 9112, 2.2)
-                if (!parseStartLine()) return fail("malformed start line");
+                if (!(kind_ == Kind::Request ? parseRequestLine() : parseStatusLine()))
+                    return Result::Invalid;
                 line_.clear();
                 state_ = State::Fields;
                 break;
             case State::Fields:
                 if (!readLine(in)) return state_ == State::Failed ? Result::Invalid : Result::NeedMore;
                 if (line_.empty()) return determineBodyFraming();
-                if (!parseField(line_)) return fail("malformed field line");
+                if (!parseField()) return Result::Invalid;
                 line_.clear();
                 break;
             case State::UntilClose:
                 if (in.empty()) return Result::NeedMore;
                 bodyBytesSeen_ += in.size();
-                if (bodyBytesSeen_ > limits_.maxBodyBytes) return fail("body too large");
+                if (bodyBytesSeen_ > limits_.maxBodyBytes) return fail(RequestRule::BodySize);
                 body = std::exchange(in, {});
                 return Result::Body;
             case State::Body:
@@ -239,23 +276,20 @@
             }
             case State::ChunkSize: {
                 if (!readLine(in)) return state_ == State::Failed ? Result::Invalid : Result::NeedMore;
-                const auto size = trimmed(std::string_view(line_).substr(0, line_.find(';')));
-                if (!parseNumber(size, bodyBytesLeft_, 16)) return fail("malformed chunk size");
-                bodyBytesSeen_ += bodyBytesLeft_;
-                if (bodyBytesLeft_ > limits_.maxBodyBytes || bodyBytesSeen_ > limits_.maxBodyBytes)
-                    return fail("body too large");
+                if (!parseChunkSize()) return Result::Invalid;
                 line_.clear();
                 state_ = bodyBytesLeft_ > 0 ? State::ChunkData : State::Trailer;
                 break;
             }
             case State::ChunkEnd:
                 if (!readLine(in)) return state_ == State::Failed ? Result::Invalid : Result::NeedMore;
-                if (!line_.empty()) return fail("chunk longer than its size");
+                if (!line_.empty()) return fail(RequestRule::Chunk);
                 state_ = State::ChunkSize;
                 break;
             case State::Trailer:
                 if (!readLine(in)) return state_ == State::Failed ? Result::Invalid : Result::NeedMore;
                 if (line_.empty()) state_ = State::Done;
+                else if (!parseTrailerField()) return Result::Invalid;
                 line_.clear();
                 break;
         }
--- a/src/wire/http/message.hpp
+++ b/src/wire/http/message.hpp
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "wire/http/request_rule.hpp"
+
 namespace spokewheel::wire::http {
 
 using Fields = std::vector<std::pair<std::string, std::string>>;
@@ -38,14 +40,16 @@
         Head,      // head() is complete
         Body,      // `body` is the next part of the body, a view into the input
         End,       // the message is complete; the rest of the input belongs to the next one
-        Invalid    // error() holds the reason; the connection is unusable
+        Invalid    // rule() holds the reason; the connection is unusable
     };
     explicit Parser(Kind kind, Limits limits = {}) : kind_(kind), limits_(limits) {}
     // Consumes input from the front of `in` up to the next result. The results do not depend on how the input
     // is split into chunks.
     Result next(std::string_view& in, std::string_view& body);
     const Head& head() const { return head_; }
-    const std::string& error() const { return error_; }
+    // What an invalid message violates. Of a response the rule of the same part of a request.
+    RequestRule rule() const { return rule_; }
+    std::string error() const { return infoOf(rule_).words; }
     // To be called for the response to a HEAD request, which has no body whatever its fields say
     // (RFC 9112, 6.3).
     void expectNoBody() { noBody_ = true; }
@@ -77,20 +81,27 @@
         Failed
     };
     bool readLine(std::string_view& in);
-    Result fail(std::string why);
-    bool parseStartLine();
-    bool parseField(std::string_view line);
+    Result fail(RequestRule rule);
+    // These return false and have called fail(), but for parseVersion().
+    bool parseVersion(std::string_view version);
+    bool parseRequestLine();
+    bool parseStatusLine();
+    bool splitField(std::string_view& name, std::string_view& value);
+    bool parseField();
+    bool parseTrailerField();
+    bool parseChunkSize();
     Result determineBodyFraming();
 
     Kind kind_;
     Limits limits_;
     State state_ = State::StartLine;
     Head head_;
-    std::string line_, error_;  // line_: the part received of the current line
+    std::string line_;  // the part received of the current line
+    RequestRule rule_ = RequestRule::RequestLine;
     std::size_t headBytes_ = 0;
     // bodyBytesLeft_: of the body or the chunk; bodyBytesSeen_: in chunks or until the connection closes
     std::uint64_t bodyBytesLeft_ = 0, bodyBytesSeen_ = 0;
-    bool noBody_ = false, closesConnection_ = false;
+    bool noBody_ = false, closesConnection_ = false, isOldVersion_ = false;
 };
 
 // Compares ASCII text such as field names (RFC 9110, 5.1) without case.
