Front: heads are charged for what their fields take, however short they are

What callers saw: with hundreds of clients at once that sent heads of very many short fields a process came close to its limit and past it: a field of 5 bytes takes two strings, 64 bytes and up to 128 while its vector grows, and was charged twice its text. Change: the parser and a read request tell the bytes that their fields take (wire::http::memoryOf), and the budget is charged these. MemoryTest.AHeadOfManyShortFieldsIsChargedForItsStrings: 2,668 bytes charged of at least 5,888 before, passes now.

--- a/src/fronts/http/decide_memory.hpp
+++ b/src/fronts/http/decide_memory.hpp
@@ -15,8 +15,6 @@
 constexpr std::size_t kClientReadChunkBytes = 4 * 1024;
 // What a request that is being received or waits takes beyond its head and body.
 constexpr std::size_t kRequestOverheadBytes = 2048;
-// Parsed fields are kept in strings of their own beside the text of the head.
-constexpr std::size_t kHeadMemoryFactor = 2;
 
 enum class RequestPlace {
     Next,        // no request of its connection is open: it is passed on once it is complete
--- a/src/fronts/http/request_reader.cpp
+++ b/src/fronts/http/request_reader.cpp
@@ -7,11 +7,8 @@
 namespace spokewheel::fronts::http {
 
 std::size_t ReceivedRequest::memory() const {
-    std::size_t bytes = kRequestOverheadBytes + body.capacity();
-    if (!decoded.work.nodeRequest) return bytes;
-    for (const auto& [name, value] : decoded.work.nodeRequest->fields)
-        bytes += kHeadMemoryFactor * (name.size() + value.size());
-    return bytes;
+    const std::size_t bytes = kRequestOverheadBytes + body.capacity();
+    return decoded.work.nodeRequest ? bytes + wire::http::memoryOf(decoded.work.nodeRequest->fields) : bytes;
 }
 
 std::size_t RequestReader::bodyMemory() const {
@@ -20,12 +17,16 @@
 }
 
 std::size_t RequestReader::requestMemory() const {
-    return kRequestOverheadBytes + kHeadMemoryFactor * parser_.headBytes() + bodyMemory();
+    return kRequestOverheadBytes + headMemory() + bodyMemory();
+}
+
+std::size_t RequestReader::headMemory() const {
+    const auto& request = current_.decoded.work.nodeRequest;
+    return parser_.headMemory() + (request ? wire::http::memoryOf(request->fields) : 0);
 }
 
 std::size_t RequestReader::memory() const {
-    const std::size_t reading =
-        inMessage() ? kRequestOverheadBytes + kHeadMemoryFactor * parser_.headBytes() : 0;
+    const std::size_t reading = inMessage() ? kRequestOverheadBytes + headMemory() : 0;
     return reading + current_.body.capacity() + queuedMemory_;
 }
 
--- a/src/fronts/http/request_reader.hpp
+++ b/src/fronts/http/request_reader.hpp
@@ -71,6 +71,8 @@
     Result finish(ReceivedRequest::Kind kind);
     Result fail(wire::http::RequestRule rule);
     void enqueue(ReceivedRequest request);
+    // Of the head that is being received, and of what was decoded of it.
+    std::size_t headMemory() const;
 
     const Settings& settings_;
     wire::http::Parser parser_{wire::http::Parser::Kind::Request, {16 * 1024, 64, kMaxBodyBytes}};
--- a/src/wire/http/message.cpp
+++ b/src/wire/http/message.cpp
@@ -86,6 +86,15 @@
     return nullptr;
 }
 
+std::size_t memoryOf(const Fields& fields) {
+    static const std::size_t kInPlace = std::string().capacity();  // characters without an allocation
+    std::size_t bytes = fields.capacity() * sizeof(Fields::value_type);
+    for (const auto& [name, value] : fields)
+        for (const auto* text : {&name, &value})
+            if (text->capacity() > kInPlace) bytes += text->capacity();
+    return bytes;
+}
+
 void Parser::reset() {
     state_ = State::StartLine;
     head_ = {};
--- a/src/wire/http/message.hpp
+++ b/src/wire/http/message.hpp
@@ -26,6 +26,9 @@
     const std::string* find(std::string_view name) const;
 };
 
+// Bytes that the fields take: each is two strings, however short its text.
+std::size_t memoryOf(const Fields& fields);
+
 struct Limits {
     std::size_t maxHeadBytes = 16 * 1024;  // start line and fields
     std::size_t maxFields = 64;
@@ -61,6 +64,8 @@
     std::uint64_t remainingBodyBytes() const { return bodyBytesLeft_; }
     // Size of the start line and fields received so far, trailers included.
     std::size_t headBytes() const { return headBytes_; }
+    // Bytes that the parser holds of the start line and fields received so far.
+    std::size_t headMemory() const { return line_.capacity() + memoryOf(head_.fields); }
     bool atMessageStart() const { return state_ == State::StartLine && line_.empty(); }
     // Whether the connection closes after this message, by its version, framing and Connection field.
     bool closesConnection() const { return closesConnection_; }
--- a/tests/gateway/platform_memory_test.cpp
+++ b/tests/gateway/platform_memory_test.cpp
@@ -191,6 +191,21 @@
     EXPECT_EQ(whole, clients.size());
 }
 
+// Guards against heads that take more memory than they are charged for: each field takes two strings, however
+// short it is.
+TEST_F(MemoryTest, AHeadOfManyShortFieldsIsChargedForItsStrings) {
+    startUntilReady();
+    constexpr std::size_t kFields = 60;
+    const auto before = daemon->memory().used();
+    std::string head = "GET /read HTTP/1.1\r\nHost: x\r\n";
+    for (std::size_t i = 0; i < kFields; ++i) head += "a:b\r\n";
+    auto c = client();
+    c->send(head);
+    runLoopFor(50);
+    EXPECT_GE(daemon->memory().used() - before,
+              fronts::http::kRequestOverheadBytes + kFields * 2 * sizeof(std::string));
+}
+
 }  // namespace
 
 // The decisions themselves.
