--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -1,5 +1,5 @@
 // All decisions of the scheduler. Interface: include/spokewheel/scheduler.hpp; plain state: state.hpp;
-// messages between hosts: peer_messages.hpp. Sections: membership, limit credits, quota leases, node windows,
+// messages between hosts: peer_messages.hpp. Sections: node list, limit credits, quota leases, node windows,
 // queues and ordering, coordinated nodes, attempts and results, credit reports, timers. The design is in
 // docs/design.md.
 #include <algorithm>
@@ -13,6 +13,7 @@
 #include "active_hosts.hpp"
 #include "key_queues.hpp"
 #include "limit_parts.hpp"
+#include "node_table.hpp"
 #include "peer_messages.hpp"
 #include "quota_pool.hpp"
 #include "send_rules.hpp"
@@ -121,7 +122,7 @@
     }
 
   private:
-    // ---------------------------------------------------------------- membership
+    // ---------------------------------------------------------------- node list
     // Subscribes to the node list; again after a failure or a time-out, with jitter so that hosts that failed
     // together do not retry together.
     void updateSubscription() {
@@ -137,61 +138,7 @@
             return;
         }
         if (update.form != ListForm::Cached) subscribeAt_ = 1e18;
-        std::set<std::string> listed;
-        for (const auto& entry : update.entries) {
-            auto& node = nodes_[entry.node];
-            if (!node.id.empty()) nodesByShard_[node.shard].erase(entry.node);
-            const int shardBefore = std::exchange(node.shard, entry.shard);
-            node.id = entry.node;
-            node.zone = entry.zone;
-            node.lifecycle = entry.lifecycle;
-            if (entry.startedMs > node.coldSince) {  // a restart explains the lost connections
-                node.coldSince = entry.startedMs;
-                node.suspect = false, node.droppedConnections = 0;
-            }
-            nodesByShard_[node.shard].insert(node.id);
-            if (node.lifecycle == Lifecycle::Gone) goneNodes_.insert(node.id);
-            selectActiveNode(shardBefore);
-            selectActiveNode(node.shard);
-            if (update.form != ListForm::Delta) listed.insert(entry.node);
-        }
-        if (update.form != ListForm::Delta)
-            for (auto& [id, node] : nodes_) {
-                if (listed.count(id)) continue;
-                node.lifecycle = Lifecycle::Gone;
-                goneNodes_.insert(id);
-                selectActiveNode(node.shard);
-            }
-        removeGoneNodes();
-    }
-    // The active node of a shard is the one that started last among those that are ready.
-    void selectActiveNode(int shard) {
-        Node* active = nullptr;
-        if (const auto found = nodesByShard_.find(shard); found != nodesByShard_.end())
-            for (const auto& id : found->second) {
-                auto& node = nodes_.at(id);
-                if (node.lifecycle == Lifecycle::Ready && (!active || node.coldSince > active->coldSince))
-                    active = &node;
-            }
-        if (active) activeNodes_[shard] = active;
-        else activeNodes_.erase(shard);
-    }
-    // Drops nodes that are gone once nothing is in flight at them.
-    void removeGoneNodes() {
-        for (auto it = goneNodes_.begin(); it != goneNodes_.end();) {
-            const auto& node = nodes_.at(*it);
-            if (node.lifecycle == Lifecycle::Gone && node.inflight > 0) {
-                ++it;
-                continue;
-            }
-            if (node.lifecycle == Lifecycle::Gone) {
-                const auto shard = nodesByShard_.find(node.shard);
-                shard->second.erase(node.id);
-                if (shard->second.empty()) nodesByShard_.erase(shard);
-                nodes_.erase(*it);
-            }
-            it = goneNodes_.erase(it);
-        }
+        nodes_.apply(update);
     }
 
     // ---------------------------------------------------------------- limit credits
@@ -421,10 +368,7 @@
     }
 
     // ---------------------------------------------------------------- node windows
-    Node* activeNode(int shard) {
-        const auto found = activeNodes_.find(shard);
-        return found == activeNodes_.end() ? nullptr : found->second;
-    }
+    Node* activeNode(int shard) { return nodes_.active(shard); }
     bool isCold(const Node& node) const { return node.suspect || now_ < node.coldSince + settings_.coldMs; }
     // No result although an attempt has been in flight for far longer than usual. Hung nodes, dead machines,
     // long pauses and very heavy requests look the same from here.
@@ -722,7 +666,7 @@
     // would overload it.
     int pickShard(const PendingRequest& pending) {
         std::vector<const Node*> warmNodes, coldNodes;
-        for (const auto& [shard, node] : activeNodes_)
+        for (const auto& [shard, node] : nodes_.activeByShard())
             if (maySendTo(pending, *node)) (isCold(*node) ? coldNodes : warmNodes).push_back(node);
         if (warmNodes.empty()) warmNodes.swap(coldNodes);
         const Node* best = nullptr;
@@ -810,7 +754,7 @@
     // As a coordinator, announces loads that changed much to all hosts, which place new objects by them.
     void announceLoads() {
         if (!coordinated_) return;
-        for (auto& [shard, node] : activeNodes_) {
+        for (const auto& [shard, node] : nodes_.activeByShard()) {
             if (coordinatorCandidate(shard, 0) != settings_.rank ||
                 now_ < node->loadAnnouncedAt + kLoadIntervalMs)
                 continue;
@@ -1195,12 +1139,9 @@
     double fairUnitsPerWeight_ = 0, unreservedUnits_ = 0, fairUpdatedAt_ = 0;
     std::uint64_t subperiod_ = 0, seq_ = 0, unreadableMessages_ = 0;
     std::uint32_t incarnation_ = 0;
-    std::map<int, Node*> activeNodes_;                           // by shard
     std::map<int, std::vector<PermitMessage>> outgoingPermits_;  // by rank; -1: to all
     std::vector<std::string> newPermitRequests_;
-    std::map<std::string, Node> nodes_;
-    std::map<int, std::set<std::string>> nodesByShard_;  // ids of all known nodes
-    std::set<std::string> goneNodes_;                    // may still have attempts in flight
+    NodeTable nodes_;
     VolumeTable volumes_;
     ActiveHosts activeHosts_;
     QuotaPool quotaPool_;  // leases to other hosts and to itself
