--- a/src/fronts/http/server_reading.cpp
+++ b/src/fronts/http/server_reading.cpp
@@ -165,8 +165,12 @@
 
 void Server::serveWaiting() {
     turns_.startTurn();
-    while (const auto number = turns_.next())
-        if (const auto found = sessions_.find(*number); found != sessions_.end()) serveShare(found->second);
+    while (const auto number = turns_.next()) {
+        const auto found = sessions_.find(*number);
+        if (found == sessions_.end()) continue;
+        const auto s = found->second;  // the session may end while it is served
+        serveShare(s);
+    }
     if (turns_.anyWaits()) armTurnTimer();
 }
 
--- a/src/wire/http/grammar.cpp
+++ b/src/wire/http/grammar.cpp
@@ -1,7 +1,10 @@
 #include "wire/http/grammar.hpp"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <cstddef>
+#include <string>
 
 namespace spokewheel::wire::http {
 namespace {
@@ -29,15 +32,15 @@
     return true;
 }
 
-// "[" IPv6address or IPvFuture "]" (RFC 3986, 3.2.2), by its characters.
+// "[" IPv6address or IPvFuture "]" (RFC 3986, 3.2.2).
 bool isIpLiteral(std::string_view text) {
     if (text.size() < 4 || text.front() != '[' || text.back() != ']') return false;
     const auto inner = text.substr(1, text.size() - 2);
+    if (inner.find('\0') != inner.npos) return false;
     if (inner.front() == 'v' || inner.front() == 'V')
         return inner.find('.') != inner.npos && isEncoded(inner, ":") && inner.find('%') == inner.npos;
-    return inner.find(':') != inner.npos && std::all_of(inner.begin(), inner.end(), [](char c) {
-               return isHexDigit(c) || c == ':' || c == '.';
-           });
+    in6_addr address{};
+    return inet_pton(AF_INET6, std::string(inner).c_str(), &address) == 1;
 }
 
 void skipSpaces(std::string_view& text) {
