--- a/src/wire/rsync/tokens.cpp
+++ b/src/wire/rsync/tokens.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace spokewheel::wire::rsync {
 namespace {
@@ -12,6 +13,7 @@
 // kMaxPackedBytes: what the 14 bits of a length field can hold.
 constexpr std::size_t kMaxLiteralBytes = 32 * 1024, kMaxPackedBytes = 16383, kUnpackBufferBytes = 64 * 1024;
 // Flag bytes of the compressed encoding, named as in rsync; the low bits of some hold a number.
+constexpr std::int32_t kMaxBlock = std::numeric_limits<std::int32_t>::max();
 constexpr std::uint8_t kEndFlag = 0x00, kTokenLong = 0x20, kTokenRunLong = 0x21, kDeflatedData = 0x40,
                        kTokenRel = 0x80, kTokenRunRel = 0xc0;
 
@@ -151,7 +153,9 @@
         std::int32_t index = block;
         bool isRun = false;
         if (flag & kTokenRel) {
-            index += flag & 0x3f;
+            const std::int32_t distance = flag & 0x3f;
+            if (block > kMaxBlock - distance) return fail("block number out of range");
+            index += distance;
             isRun = (flag >> 6) & 1;
         } else if (flag == kTokenLong || flag == kTokenRunLong) {
             index = r.i32();
@@ -159,7 +163,7 @@
         } else return fail("unknown token flag");
         const std::int32_t runLength = isRun ? r.u16() : 0;
         if (!r.complete()) return {};
-        if (index < 0) return fail("negative block number");
+        if (index < 0 || index > kMaxBlock - runLength) return fail("block number out of range");
         in.remove_prefix(r.consumed());
         block = index;
         runLeft = runLength;
--- a/tests/wire/rsync_test.cpp
+++ b/tests/wire/rsync_test.cpp
@@ -211,6 +211,20 @@
     return out;
 }
 
+// Guards against the sum of a block number and a distance or run that overflows.
+TEST(RsyncTokens, BlockNumbersBeyondTheLargestAreRefused) {
+    const std::string largest("\x20\xff\xff\xff\x7f", 5);                 // block 2^31 - 1
+    const std::string runFromLargest("\x21\xff\xff\xff\x7f\x01\x00", 7);  // and one that follows
+    for (const auto& stream : {largest + "\x81", largest + std::string("\xc1\x05\x00", 3), runFromLargest}) {
+        TokenReader reader(true);
+        std::string_view in = stream;
+        auto token = reader.next(in);
+        if (token.kind == Token::Kind::Block) token = reader.next(in);
+        EXPECT_EQ(token.kind, Token::Kind::Invalid);
+        EXPECT_EQ(reader.error(), "block number out of range");
+    }
+}
+
 TEST(RsyncTokens, DeltaRebuildsTheFileWhateverTheSplit) {
     std::mt19937 random(3);
     std::string basis(50000, '\0');
