HTTP parser: close counts in whichever Connection field it is

RFC 9110, 5.3: several lines are one list; RFC 9112, 9.3: close goes first. Measured: the new cases in Http fail without the change by their reading of the fields, and pass with it; parts_tests pass.

--- a/src/wire/http/message.cpp
+++ b/src/wire/http/message.cpp
@@ -207,12 +207,13 @@
 // Transfer-Encoding, or with lengths that differ, is refused: two parsers could disagree where the next
 // message starts.
 Parser::Result Parser::determineBodyFraming() {
-    bool chunked = false, lengthKnown = false;
+    bool chunked = false, lengthKnown = false, close = false, keepAlive = false;
     for (const auto& [name, value] : head_.fields) {
-        // Connection is a list of tokens, of which "close" overrides the others (RFC 9110, 7.6.1).
+        // Connection is a list of tokens, of which "close" overrides the others, in whichever field line it
+        // is (RFC 9110, 5.3; RFC 9112, 9.3).
         if (caseInsensitiveEqual(name, "connection")) {
-            if (listContains(value, "close")) closesConnection_ = true;
-            else if (listContains(value, "keep-alive")) closesConnection_ = false;
+            close = close || listContains(value, "close");
+            keepAlive = keepAlive || listContains(value, "keep-alive");
         }
         if (caseInsensitiveEqual(name, "transfer-encoding")) {
             if (!caseInsensitiveEqual(value, "chunked") || chunked) return fail(RequestRule::TransferCoding);
@@ -226,6 +227,7 @@
         bodyBytesLeft_ = length;
         lengthKnown = true;
     }
+    closesConnection_ = close || (isOldVersion_ && !keepAlive);
     if (chunked && lengthKnown) return fail(RequestRule::LengthAndCoding);
     if (chunked && kind_ == Kind::Request && isOldVersion_) return fail(RequestRule::CodingOfOldVersion);
     if (bodyBytesLeft_ > limits_.maxBodyBytes) return fail(RequestRule::BodySize);
--- a/tests/wire/http_test.cpp
+++ b/tests/wire/http_test.cpp
@@ -68,6 +68,13 @@
     expectResults(Parser::Kind::Response,
                   "HTTP/1.1 200 OK\r\nConnection: x , Close\r\nContent-Length: 0\r\n\r\n",
                   "H(200)Connection=x , Close;Content-Length=0;E!");
+    for (const std::string fields :
+         {"Connection: close\r\nConnection: keep-alive\r\n",
+          "Connection: keep-alive\r\nConnection: x, close\r\n", "Connection: keep-alive, close\r\n"}) {
+        const auto result =
+            parseInChunks(Parser::Kind::Request, "GET / HTTP/1.1\r\n" + fields + "\r\n", 1000);
+        EXPECT_EQ(result.substr(result.size() - 2), "E!") << fields;
+    }
     // A response without a length ends only with the connection, and its size is limited.
     expectResults(Parser::Kind::Response, "HTTP/1.1 200 OK\r\n\r\nabc", "H(200)abc");
     EXPECT_NE(parseInChunks(Parser::Kind::Response, "HTTP/1.1 200 OK\r\n\r\n" + std::string(1001, 'x'), 99)
