Front: requests whose time was over before their turn are refused at once

Cause: each was passed to the scheduling module, which refused it, one in each turn of the event loop. Change (decide_turn.hpp): such a request is refused by the front, 64 a turn: nothing was sent for it.

--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "fronts/http/decide_turn.hpp"
 #include "fronts/http/session.hpp"
 
 namespace spokewheel::fronts::http {
@@ -153,13 +154,15 @@
         return s->connection->open() && s->state.phase != Phase::Open && s->state.phase != Phase::Closing &&
                !s->reader.queue().empty();
     };
-    std::size_t served = 0;
-    for (; hasNext() && served < kRequestsPerShare; ++served) {
+    std::size_t served = 0, refused = 0;
+    while (hasNext() && served < kRequestsPerShare && refused < kRequestsPerTurn) {
         if (s->connection->backlogged()) {  // until onDrained()
             if (s->state.phase != Phase::Idle) enterPhase(*s, Phase::Idle);
             return s->connection->pauseReading();
         }
-        if (!clientVisible(*s)) break;
+        if (refuseIfOver(*s)) ++refused;
+        else if (clientVisible(*s)) ++served;
+        else break;
         dispatch(s, s->reader.takeFirst());
     }
     if (s->connection->open() && !s->inShare) s->connection->flush();
@@ -173,6 +176,16 @@
     sendContinue(*s);
 }
 
+bool Server::refuseIfOver(Session& s) {
+    const auto& next = s.reader.queue().front();
+    if (next.kind != ReceivedRequest::Kind::Valid ||
+        !isOver(next.arrivedAt, next.decoded.work.ttlMs, io::nowMs()))
+        return false;
+    s.reader.refuseFirst();
+    ++counts_.expired;
+    return true;
+}
+
 // Whether the next request may be dealt with: a client that may have left unnoticed is looked for first. If
 // that takes too long, the request is refused.
 bool Server::clientVisible(Session& s) {
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -29,6 +29,7 @@
     struct Counts {
         std::uint64_t connections = 0, requests = 0, errors = 0, gaveWay = 0;
         std::uint64_t memoryWaits = 0, memoryRefusals = 0;  // requests that there was no memory for
+        std::uint64_t expired = 0;     // requests whose time was over before their turn came
         std::uint64_t hiddenEnds = 0;  // requests refused as their client may have left unnoticed
         std::array<std::uint64_t, static_cast<std::size_t>(CloseReason::Count)> closes{};
         std::array<std::uint64_t, static_cast<std::size_t>(wire::http::RequestRule::Count)> rejected{};
@@ -100,6 +101,7 @@
     void read(const SessionPtr& s, const ReadShare& most);
     bool mayHideEnd(const Session& s) const;
     bool clientVisible(Session& s);
+    bool refuseIfOver(Session& s);
     bool clientWaiting(const SessionPtr& s);
     void clientLeft(const SessionPtr& s);
     void sendContinue(Session& s);
--- a/src/platform/report.cpp
+++ b/src/platform/report.cpp
@@ -150,6 +150,7 @@
               {{"watch_faults", countsByName<registry::WatchFault>(sources.watch.faults())}}, now);
     log.event(Level::Info, "pulse_work",
               {{"errors", text(server.errors)},
+               {"expired", text(server.expired)},
                {"gave_way", text(server.gaveWay)},
                {"steps", text(c.steps)},
                {"step_ms", formatUnits(c.stepMs)},
--- a/src/wire/http/request_rule.cpp
+++ b/src/wire/http/request_rule.cpp
@@ -27,7 +27,7 @@
      "RFC 9110, 5.5: field values containing CR, LF, or NUL are invalid and dangerous; other CTL characters "
      "are "
      "also invalid"},
-    {"head_size", 431, "the head is too long",
+    {"head_size", 431, "head larger than the limit",
      "RFC 9110, 5.4: a server that receives a set of fields larger than it wishes to process MUST respond "
      "with an "
      "appropriate 4xx"},
--- a/tests/gateway/platform_memory_test.cpp
+++ b/tests/gateway/platform_memory_test.cpp
@@ -88,6 +88,12 @@
     EXPECT_EQ(attemptsOfAClientThatLeft(behind), 1u);
 }
 
+// The same behind a body that is longer than any may be.
+TEST_F(MemoryTest, AClientThatLeavesIsNoticedBehindABodyThatIsTooLong) {
+    const std::string head = "PUT /once HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n";
+    EXPECT_EQ(attemptsOfAClientThatLeft(head + std::string(9500000, 'b')), 1u);
+}
+
 // Guards against requests that are read and never answered: of many that come at once each gets its answer,
 // served where there is memory and refused where there is none.
 TEST_F(MemoryTest, EachOfManyUploadsSentAtOnceIsAnswered) {
--- a/tests/gateway/soak_scenario_test.cpp
+++ b/tests/gateway/soak_scenario_test.cpp
@@ -205,6 +205,41 @@
                                            ReportedStart{"AfterSmallStepsThatCancel", 0, -5000, true}),
                          [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against requests sent at once that are answered one by one, long after their time: behind one whose
+// server hangs, each that was over took some turns of a process that is held up now and then.
+TEST_F(Scenario, RequestsThatWaitBehindASlowOneAreAnsweredInTheirGrace) {
+    constexpr int kRequests = 234;
+    constexpr double kTimeoutMs = 900;
+    startReady();
+    servers[0]->setMode(DiskServer::Mode::Hanging);
+    process->control().pollDelayMs.store(150);
+    setFaultRate(Fault::PollDelay, 200);
+    std::string text, received;
+    for (int i = 0; i < kRequests; ++i) {
+        ClientRequest request;
+        request.method = "GET";
+        request.requestClass = "read";
+        request.id = newRequestId();
+        request.plan = "open";
+        request.key = "7f3a9c21e0b4d655";
+        request.timeoutMs = kTimeoutMs;
+        request.volume = "00000003b4d60021";
+        text += formatRequest(request);
+    }
+    const auto client = reactor.dial(process->port());
+    client->onData = [&received](std::string_view bytes) { received += bytes; };
+    client->write(text);
+    const auto answered = [&received] {
+        int n = 0;
+        for (std::size_t at = 0; (at = received.find("HTTP/1.1 ", at)) != std::string::npos; ++at) ++n;
+        return n;
+    };
+    const auto bounds = defaultRequirements();
+    runUntil(kTimeoutMs + bounds.answerGraceMs + bounds.toleranceMs, [&] { return answered() == kRequests; });
+    EXPECT_EQ(answered(), kRequests);
+    client->close();
+}
+
 // The process is delayed by up to 150 ms at each poll of its sockets, so that requests wait before they are
 // read and again afterwards. The timeout in an attempt must still be no longer than what its client has left,
 // with the allowed slack, and no attempt may begin for a client that has gone. The fault: a request's time
