Soak: an agent that is no longer slow keeps the order of what it sends

Trace: the agents were slow from 4445 ms, in pieces of some bytes; when that ended at about 6060 what followed was written at once, in the middle of a chunk whose pieces were still queued. Four schedulers logged at that moment that discovery sent a malformed chunk, so none had read the drain that counts as told then; discovery went down before they could ask again. Change: what is queued goes first.

--- a/kit/soak/agent.cpp
+++ b/kit/soak/agent.cpp
@@ -197,15 +197,16 @@
 }
 
 void Agent::send(const WatchPtr& watch, const std::string& bytes) {
-    if (!slow_) return watch->connection->write(bytes);
+    // What was sent slowly before goes first, also once the agent is no longer slow.
+    if (!slow_ && watch->queuedUntilMs < reactor_.now()) return watch->connection->write(bytes);
     const std::weak_ptr<Watch> weak = watch;
+    const std::size_t pieceBytes = slow_ ? kSlowPieceBytes : bytes.size();
     watch->queuedUntilMs = std::max(watch->queuedUntilMs, reactor_.now());
-    for (std::size_t at = 0; at < bytes.size(); at += kSlowPieceBytes) {
+    for (std::size_t at = 0; at < bytes.size(); at += pieceBytes) {
         watch->queuedUntilMs += kSlowPieceGapMs;
-        reactor_.after(watch->queuedUntilMs - reactor_.now(),
-                       [weak, part = bytes.substr(at, kSlowPieceBytes)] {
-                           if (const auto w = weak.lock()) w->connection->write(part);
-                       });
+        reactor_.after(watch->queuedUntilMs - reactor_.now(), [weak, part = bytes.substr(at, pieceBytes)] {
+            if (const auto w = weak.lock()) w->connection->write(part);
+        });
     }
 }
 
