--- a/kit/soak/clients.cpp
+++ b/kit/soak/clients.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "kit/soak/request.hpp"
+#include "kit/soak/unsound_request.hpp"
 
 namespace spokewheel::soak {
 namespace {
@@ -296,6 +297,86 @@
     recordEvent(EventKind::Malformed, connection, nullptr);
 }
 
+ClientRequest Clients::extraRequest(double timeoutMs) {
+    ClientRequest request;
+    request.method = "GET";
+    request.requestClass = "read";
+    request.id = newRequestId();
+    request.plan = "open";
+    request.key = "00000000000000aa";
+    request.timeoutMs = timeoutMs;
+    request.volume = "f000" + request.id.substr(4);
+    return request;
+}
+
+void Clients::sendBurst(int count, double leavesAfterMs, Random& random) {
+    if (!process_.running() || !process_.ready()) return;
+    const auto connection = dial();
+    const double timeoutMs = options_.settings.classes.front().deadlineMs;
+    const bool limited = chance(random, 0.3);
+    for (int i = 0; i < count; ++i) {
+        auto fields = extraRequest(timeoutMs);
+        if (limited) fields.plan = "limited";
+        fields.cell = drawBelow(random, options_.servers);
+        Request request;
+        request.id = fields.id;
+        request.requestClass = fields.requestClass;
+        request.timeoutMs = timeoutMs;
+        request.cell = fields.cell;
+        request.limited = limited;
+        request.text = formatRequest(fields);
+        connection->tcp->write(request.text);
+        request.sentAt = reactor_.now();
+        connection->bytesWritten += request.text.size();
+        request.endOffset = connection->bytesWritten;
+        recordEvent(EventKind::RequestSent, connection, &request);
+        connection->pending.push_back(std::move(request));
+    }
+    if (leavesAfterMs < 0) return;
+    reactor_.after(leavesAfterMs, [this, alive = alive_, connection] {
+        if (*alive) disconnect(connection);
+    });
+}
+
+void Clients::sendUnsoundRequests(int count, Random& random) {
+    for (int i = 0; i < count && process_.running(); ++i) {
+        const auto connection = dial();
+        auto fields = extraRequest(options_.settings.classes.front().deadlineMs);
+        Request request;
+        request.id = fields.id;
+        request.text = makeUnsound(formatRequest(fields), random);
+        connection->malformed = true;
+        connection->tcp->write(request.text);
+        connection->bytesWritten += request.text.size();
+        recordEvent(EventKind::Malformed, connection, &request);
+    }
+}
+
+void Clients::openStalledConnections(int count, double durationMs) {
+    auto upload = extraRequest(options_.settings.longestDeadlineMs());
+    upload.method = "PUT";
+    upload.requestClass = "once";
+    upload.body.assign(32 * 1024, 's');
+    auto half = formatRequest(upload);
+    half.resize(half.size() / 2);
+    std::string head = "GET /read/object HTTP/1.1\r\nHost: service.internal\r\n";
+    for (int i = 0; i < 55; ++i) head += "a:b\r\n";
+    for (int i = 0; i < count; ++i) {
+        const auto connection = reactor_.dial(process_.port());
+        const std::weak_ptr<TcpConnection> weak = connection;
+        connection->onConnected = [weak, text = i % 2 ? head : half] {
+            if (const auto connected = weak.lock()) connected->write(text);
+        };
+        connection->onEnd = [weak](TcpConnection::End) {
+            if (const auto ended = weak.lock()) ended->close();
+        };
+        idleConnections_.push_back(connection);
+    }
+    reactor_.after(durationMs, [this, alive = alive_] {
+        if (*alive) closeIdleConnections();
+    });
+}
+
 void Clients::openIdleConnections(int count, double durationMs) {
     for (int i = 0; i < count; ++i) {
         const auto connection = reactor_.dial(process_.port());
--- a/kit/soak/clients.hpp
+++ b/kit/soak/clients.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "kit/soak/reactor.hpp"
+#include "kit/soak/request.hpp"
 #include "kit/soak/scheduler_process.hpp"
 #include "kit/soak/setting.hpp"
 #include "wire/http/message.hpp"
@@ -27,6 +28,14 @@
     void start();
     void stop() { sending_ = false; }
     void sendMalformedRequests(int count);
+    // Sends valid reads at once on one connection, each of a volume never named before. The client closes the
+    // connection after `leavesAfterMs`, unless that is negative.
+    void sendBurst(int count, double leavesAfterMs, Random& random);
+    // Sends requests that are not sound, each on a connection of its own. Recorded with their ids.
+    void sendUnsoundRequests(int count, Random& random);
+    // Opens connections with half a head of many short fields, or half an upload, and closes them after
+    // `durationMs`.
+    void openStalledConnections(int count, double durationMs);
     // Opens idle connections beside the others, to use up the scheduler's descriptors, and closes them after
     // `durationMs`.
     void openIdleConnections(int count, double durationMs);
@@ -64,6 +73,8 @@
     void onEnd(const ConnectionPtr& connection, TcpConnection::End how);
     void disconnect(const ConnectionPtr& connection);
     void sendMalformedRequest(const ConnectionPtr& connection);
+    // The request of a client outside the usual traffic.
+    static ClientRequest extraRequest(double timeoutMs);
     void remove(const ConnectionPtr& connection);
     // `flag`: Event::read of ConnectionEnded, Event::genuine of the other kinds.
     void recordEvent(EventKind kind, const ConnectionPtr& connection, const Request* request, int status = 0,
--- a/kit/soak/cluster.cpp
+++ b/kit/soak/cluster.cpp
@@ -87,6 +87,15 @@
     record_(event);
 }
 
+void Cluster::recordViolation(std::size_t scheduler, const std::string& detail) {
+    Event event;
+    event.kind = EventKind::Violation;
+    event.at = reactor.now();
+    event.scheduler = static_cast<int>(scheduler);
+    event.detail = detail;
+    record_(event);
+}
+
 void Cluster::markImpaired(std::size_t scheduler, double durationMs) {
     auto& until = impairedUntil_[scheduler];
     until = std::max(until, reactor.now() + durationMs);
--- a/kit/soak/cluster.hpp
+++ b/kit/soak/cluster.hpp
@@ -49,6 +49,8 @@
     // Moves the scheduler's discovery agent to another port and reloads its configuration. `truncated`: the
     // configuration file is incomplete at first.
     void moveDiscovery(std::size_t scheduler, bool truncated);
+    // Records that a scheduler broke a limit.
+    void recordViolation(std::size_t scheduler, const std::string& detail);
     // The scheduler's environment is impaired for this long: it is not required to serve requests.
     void markImpaired(std::size_t scheduler, double durationMs);
     double wallClockMs() const;  // as the schedulers see it, with the injected clock steps
--- a/kit/soak/main.cpp
+++ b/kit/soak/main.cpp
@@ -24,6 +24,7 @@
     out.settings = soak::drawSettings(seed);
     if (limits) soak::drawLimitScenario(out.settings, seed, out.schedulers);
     out.connectionFloods = out.connectionFloods || seed % 3 == 0;
+    out.busyClients = out.busyClients || seed % 5 == 2 || seed % 5 == 4;
     return out;
 }
 
@@ -73,6 +74,8 @@
     app.add_flag("--no-limits", noLimits, "no busy volumes at their limits");
     app.add_flag("--crowds", options.connectionFloods,
                  "inject floods of idle connections that use up the descriptors");
+    app.add_flag("--busy-clients", options.busyClients,
+                 "clients that send much at once, or what is not sound");
     app.add_option("--members", options.extraMembers, "listed servers that no request uses")
         ->check(CLI::Range(0, 10000));
     app.add_option("--churn", options.churnPerSecond, "of those, replaced per second")
--- a/kit/soak/record_checker.cpp
+++ b/kit/soak/record_checker.cpp
@@ -337,8 +337,14 @@
 
     void checkMalformed() {
         std::map<int, const Event*> open;
+        std::set<std::string> unsound;
         for (const auto& event : events_) {
-            if (event.kind == Kind::Malformed) open[event.connection] = &event;
+            if (event.kind == Kind::Malformed) {
+                open[event.connection] = &event;
+                if (!event.request.empty()) unsound.insert(event.request);
+            }
+            if (event.kind == Kind::AttemptBegan && unsound.count(event.request) > 0)
+                addViolation(Rule::Malformed, event, "a request that is not sound was passed on");
             const auto found = open.find(event.connection);
             if (event.kind != Kind::MalformedEnded || found == open.end()) continue;
             if (event.at > found->second->at + requirements_.malformedTimeoutMs + requirements_.toleranceMs)
--- a/kit/soak/soak.cpp
+++ b/kit/soak/soak.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <utility>
 
+#include "kit/soak/busy_client_injector.hpp"
 #include "kit/soak/cluster.hpp"
 #include "kit/soak/fault_injector.hpp"
 #include "kit/soak/limit_scenario.hpp"
@@ -53,9 +54,11 @@
     Cluster cluster(options);
     FaultInjector faultInjector(cluster);
     LimitFaultInjector limitFaultInjector(cluster);
+    BusyClientInjector busyClientInjector(cluster);
     cluster.start();
     cluster.reactor.runUntil(cluster.startedAt + kWarmUpMs);
     limitFaultInjector.start();
+    busyClientInjector.start();
     const double end = cluster.startedAt + 1000 * options.seconds;
     while (cluster.reactor.now() < end) {
         if (options.injectFaults) faultInjector.injectRandomFaults();
@@ -64,6 +67,7 @@
     cluster.recordUsage();
     cluster.clearFaults();
     limitFaultInjector.stop();
+    busyClientInjector.stop();
     cluster.reactor.runUntil(cluster.reactor.now() + kCooldownMs);
     cluster.stop();
     return resultOf(cluster);
@@ -102,7 +106,8 @@
 std::string report(const Result& result, const Options& options) {
     std::ostringstream out;
     out << "seed " << options.seed << ", " << options.schedulers << " schedulers, " << options.seconds << " s"
-        << (options.connectionFloods ? ", connection floods" : "") << ":";
+        << (options.connectionFloods ? ", connection floods" : "")
+        << (options.busyClients ? ", busy clients" : "") << ":";
     for (const auto& [name, count] : result.counts) out << " " << name << " " << count << ",";
     out << " largest delay of the harness " << static_cast<int>(result.worstLagMs) << " ms\n";
     out << "  settings: " << options.settings.summary() << "\n";
--- a/tests/gateway/soak_judge_test.cpp
+++ b/tests/gateway/soak_judge_test.cpp
@@ -268,6 +268,17 @@
     attempt(record, 600, {.request = "r2", .number = 3, .timeoutMs = 610});
     expectViolation(Rule::TimeoutPassedOn, "r2");
 }
+TEST_F(SoakJudge, FindsAnUnsoundRequestThatIsPassedOn) {
+    auto unsound = event(EventKind::Malformed, 100, "r2");
+    unsound.connection = 77;
+    record.push_back(unsound);
+    auto ended = event(EventKind::MalformedEnded, 140);
+    ended.connection = 77;
+    record.push_back(ended);
+    expectNoViolation();
+    attempt(record, 120, {.request = "r2", .number = 2});
+    expectViolation(Rule::Malformed, "r2");
+}
 TEST_F(SoakJudge, FindsAMalformedClientLeftAlone) {
     auto malformed = event(EventKind::Malformed, 100);
     malformed.connection = 7;
