--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build/review-2
-for source in review/{6,7,8,9,10}/case.cpp; do
+for source in review/{6,7,8,9,10}/play.cpp; do
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
     "${CXX:-g++}" -std=c++17 -O1 -Wall -Wextra -pthread -I. "$source" -o "build/review-2/case-$number"
