Front: requests of one key run in the order in which they arrived, over hold-ups too

Cause: a request got its place in its key's queue when its connection was read, and connections are read in the order in which they were made, large bodies in several turns, pipelined requests and uploads that wait for memory later still.

Change: a request of an in-order class has a place by the arrival of its last byte, from the kernel's receive stamps, over all connections (key_order, server_order, arrival_clock, receive_stamps). It is passed on once all that had arrived before has been read and no request of its key is before it. Where the order of two can't be known, one is refused: nothing was sent for it.

SocketClient of the tests sets TCP_NODELAY: with Nagle's algorithm a second small write left 40 ms late, so that the test itself turned the order round.

--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -36,7 +36,7 @@
           src/wire/rsync/options.cpp src/wire/rsync/delta.cpp
   LINKS PkgConfig::XXHASH PkgConfig::ZSTD)
 spokewheel_layer(wire_peer DIRS src/wire/peer SOURCES src/wire/peer/datagram.cpp src/wire/peer/membership.cpp)
-spokewheel_layer(io DIRS src/io SOURCES src/io/loop.cpp src/io/connection.cpp LINKS PkgConfig::GIO)
+spokewheel_layer(io DIRS src/io SOURCES src/io/loop.cpp src/io/arrival_clock.cpp src/io/receive_stamps.cpp src/io/connection.cpp src/io/connection_arrival.cpp LINKS PkgConfig::GIO)
 spokewheel_layer(config DIRS src/config SOURCES src/config/checker.cpp src/config/settings.cpp
   LINKS spokewheel yaml-cpp)
 spokewheel_layer(log DIRS src/log SOURCES src/log/log.cpp src/log/descriptor_sink.cpp LINKS spdlog::spdlog)
@@ -58,7 +58,7 @@
   LINKS sw_fronts sw_nodes sw_registry sw_peers sw_log)
 # A layer of its own, although its directory is below src/fronts: the platform's HTTP front must not include anything of
 # the rsync front or the catalogue.
-spokewheel_layer(fronts_http DIRS src/fronts/http SOURCES src/fronts/http/check_request.cpp src/fronts/http/decode_request.cpp src/fronts/http/request_reader.cpp src/fronts/http/read_turns.cpp src/fronts/http/request_ids.cpp src/fronts/http/server.cpp src/fronts/http/server_reading.cpp
+spokewheel_layer(fronts_http DIRS src/fronts/http SOURCES src/fronts/http/check_request.cpp src/fronts/http/decode_request.cpp src/fronts/http/request_reader.cpp src/fronts/http/key_order.cpp src/fronts/http/read_turns.cpp src/fronts/http/request_ids.cpp src/fronts/http/server.cpp src/fronts/http/server_reading.cpp src/fronts/http/server_order.cpp
   LINKS sw_host sw_wire_http)
 spokewheel_layer(platform DIRS src/platform
   SOURCES src/platform/configuration.cpp src/platform/dialect.cpp src/platform/startup_node_list.cpp src/platform/change_announcer.cpp src/platform/report.cpp src/platform/platform_daemon.cpp
--- a/src/fronts/http/decode_request.cpp
+++ b/src/fronts/http/decode_request.cpp
@@ -137,6 +137,7 @@
     work.ttlMs = static_cast<double>(ttl);
     parseXIo(requiredField(head, "X-IO", RequestRule::Io), work);
     if (const auto* cookie = head.find("Cookie")) parseCookie(*cookie, work);
+    if (requestClass.inOrder && work.key != -1) out.orderedKey = work.key;
 }
 
 // Whether a field is passed on to the disk server. Unknown fields are, as they may hold the key by which it
--- a/src/fronts/http/decode_request.hpp
+++ b/src/fronts/http/decode_request.hpp
@@ -3,6 +3,7 @@
 // module.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,7 @@
 struct DecodedRequest {
     std::optional<wire::http::RequestRule> violated;  // nothing: a valid request
     std::string id;                                   // X-Request-ID as received; empty where it is none
+    std::optional<std::int64_t> orderedKey;           // of a class whose requests of one key run in order
     host::RequestSpec work;  // its node request has no body yet; arrivedMs is not set
 };
 
--- a/src/fronts/http/read_turns.cpp
+++ b/src/fronts/http/read_turns.cpp
@@ -13,12 +13,15 @@
     return first;
 }
 
+void ReadTurns::enterTurn(std::uint64_t turn) {
+    if (turn == turn_) return;
+    startTurn();
+    turn_ = turn;
+}
+
 bool ReadTurns::mayServe(ConnectionNumber connection, Priority priority, std::uint64_t turn) {
-    if (turn != turn_) {
-        startTurn();
-        turn_ = turn;
-    }
-    const bool free = !anyWaits() && used_ < kRequestsPerTurn;
+    enterTurn(turn);
+    const bool free = !anyWaits() && !exhausted();
     if (free && served_.insert(connection).second) return true;
     wait(connection, priority);
     return false;
@@ -35,7 +38,7 @@
 }
 
 std::optional<ReadTurns::ConnectionNumber> ReadTurns::next() {
-    if (used_ >= kRequestsPerTurn) return std::nullopt;
+    if (exhausted()) return std::nullopt;
     // One of those that read behind an open request has its share in each iteration: its client may have
     // left.
     const bool readIsDue = !reads_.empty() && !readServed_;
--- a/src/fronts/http/read_turns.hpp
+++ b/src/fronts/http/read_turns.hpp
@@ -30,6 +30,10 @@
     using ConnectionNumber = std::uint64_t;
     enum class Priority { Answers, ReadsBehindOpen };
 
+    // Begins an iteration of that number, unless it has begun.
+    void enterTurn(std::uint64_t turn);
+    // Whether the requests of the iteration are used up.
+    bool exhausted() const { return used_ >= kRequestsPerTurn; }
     // A connection has bytes to be read or requests to be answered. `turn`: the number of the iteration.
     // Returns whether it gets its share now; if not, it waits until next() names it.
     bool mayServe(ConnectionNumber connection, Priority priority, std::uint64_t turn);
--- a/src/fronts/http/request_reader.cpp
+++ b/src/fronts/http/request_reader.cpp
@@ -11,11 +11,14 @@
     return decoded.work.nodeRequest ? bytes + wire::http::memoryOf(decoded.work.nodeRequest->fields) : bytes;
 }
 
-std::size_t RequestReader::bodyMemory() const {
+std::optional<std::size_t> RequestReader::remainingBodyBytes() const {
     const bool chunked = parser_.head().find("Transfer-Encoding") != nullptr;
-    return static_cast<std::size_t>(chunked ? kMaxBodyBytes : parser_.remainingBodyBytes());
+    if (chunked) return std::nullopt;
+    return static_cast<std::size_t>(parser_.remainingBodyBytes());
 }
 
+std::size_t RequestReader::bodyMemory() const { return remainingBodyBytes().value_or(kMaxBodyBytes); }
+
 std::size_t RequestReader::requestMemory() const {
     return kRequestOverheadBytes + headMemory() + bodyMemory();
 }
@@ -84,6 +87,7 @@
         current_.decoded = {};
         current_.decoded.id = std::move(id);
         current_.body = {};
+        current_.place.giveUp();
     }
     current_.body.shrink_to_fit();
     ended_ = ended_ || current_.last;
@@ -119,6 +123,12 @@
     queuedMemory_ += first.memory();
 }
 
+void RequestReader::discardQueue() {
+    queue_.clear();
+    queuedMemory_ = 0;
+    current_.place.giveUp();
+}
+
 ReceivedRequest RequestReader::takeFirst() {
     if (queue_.front().count > 1) {
         --queue_.front().count;
--- a/src/fronts/http/request_reader.hpp
+++ b/src/fronts/http/request_reader.hpp
@@ -5,12 +5,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
 #include "fronts/http/decide_memory.hpp"
 #include "fronts/http/decode_request.hpp"
+#include "fronts/http/key_order.hpp"
 #include "wire/http/message.hpp"
 
 namespace spokewheel::fronts::http {
@@ -28,6 +30,7 @@
     wire::http::RequestRule rule = wire::http::RequestRule::RequestLine;  // of Invalid: what it violates
     bool last = false;      // the client wants the connection closed after the answer
     double arrivedAt = 0;   // of its last byte
+    KeyOrder::Place place;  // of a request whose class runs in order
     std::size_t count = 1;  // Refused: this many in a row
     std::size_t memory() const;
 };
@@ -43,6 +46,8 @@
 
     // Consumes input from the front of `bytes`, which arrived at `arrivedAt`, up to the next result.
     Result next(std::string_view& bytes, double arrivedAt);
+    // How much of the body of the request being read is still to come; nothing if its head does not say.
+    std::optional<std::size_t> remainingBodyBytes() const;
     // The most that the body of the request being read takes, by what its head says.
     std::size_t bodyMemory() const;
     // The same for the request as a whole.
@@ -56,6 +61,10 @@
     ReceivedRequest takeFirst();
     // The first request of queue(), a valid one, is to be refused.
     void refuseFirst();
+    // The server has ended: its requests are not served any more.
+    void discardQueue();
+    // The request whose head was read last, if it is to be admitted; it may be incomplete.
+    ReceivedRequest& current() { return current_; }
     // A request has begun to arrive and is not complete.
     bool inMessage() const { return !parser_.atMessageStart() || awaitsDecision_; }
     // An invalid request or one that closes the connection was read: later bytes are discarded.
--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -36,7 +36,10 @@
       settings_(settings),
       descriptors_(descriptors),
       maxConnections_(splitDescriptors(descriptors).clients),
-      memory_(memory) {
+      memory_(memory),
+      keyOrder_([this] {
+          if (!orderTimer_.armed()) orderTimer_.arm(0, [this] { settleOrder(); });
+      }) {
     memory_.onRelease([this, alive = alive_] {
         if (*alive && !waiting_.empty() && !admissionTimer_.armed())
             admissionTimer_.arm(0, [this] { retryAdmissions(); });
@@ -48,7 +51,10 @@
 
 Server::~Server() {
     *alive_ = false;
-    for (auto& [number, s] : sessions_) s->connection->close();
+    for (auto& [number, s] : sessions_) {
+        s->connection->close();
+        s->reader.discardQueue();
+    }
 }
 
 void Server::enterPhase(Session& s, Phase phase) {
@@ -130,6 +136,8 @@
             sendError(s, RequestRule::NotWholeInTime, decision.reason);
         else if (decision.action == CloseAction::ShutDown) shutDown(s, decision.reason);
         else close(s, decision.reason);
+    const auto ordered = keyOrder_.connections();
+    serveOrdered({ordered.begin(), ordered.end()});
     if (draining_ && onEmpty_ && sessions_.empty() && !listener_->hasPending()) {
         listener_->stop();
         return std::exchange(onEmpty_, nullptr)();
@@ -155,18 +163,21 @@
                !s->reader.queue().empty();
     };
     std::size_t served = 0, refused = 0;
+    bool waits = false;
     while (hasNext() && served < kRequestsPerShare && refused < kRequestsPerTurn) {
         if (s->connection->backlogged()) {  // until onDrained()
             if (s->state.phase != Phase::Idle) enterPhase(*s, Phase::Idle);
             return s->connection->pauseReading();
         }
         if (refuseIfOver(*s)) ++refused;
+        else if ((waits = waitsForOrder(*s))) break;
         else if (clientVisible(*s)) ++served;
         else break;
         dispatch(s, s->reader.takeFirst());
     }
     if (s->connection->open() && !s->inShare) s->connection->flush();
     turns_.onServed(served);
+    if (waits) return;
     if (hasNext()) {
         turns_.wait(s->number, ReadTurns::Priority::Answers);
         armTurnTimer();
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -13,6 +13,7 @@
 
 #include "fronts/http/decide_connections.hpp"
 #include "fronts/http/decode_request.hpp"
+#include "fronts/http/key_order.hpp"
 #include "fronts/http/read_turns.hpp"
 #include "fronts/http/request_ids.hpp"
 #include "fronts/http/request_reader.hpp"
@@ -31,6 +32,7 @@
         std::uint64_t memoryWaits = 0, memoryRefusals = 0;  // requests that there was no memory for
         std::uint64_t expired = 0;     // requests whose time was over before their turn came
         std::uint64_t hiddenEnds = 0;  // requests refused as their client may have left unnoticed
+        std::uint64_t unordered = 0;   // requests refused as their place in their key's order is unknown
         std::array<std::uint64_t, static_cast<std::size_t>(CloseReason::Count)> closes{};
         std::array<std::uint64_t, static_cast<std::size_t>(wire::http::RequestRule::Count)> rejected{};
         std::size_t peakConnections = 0;
@@ -86,9 +88,10 @@
     // The session's state, brought up to date with its socket.
     const ConnectionState& updateState(Session& s);
     void updateMemory(Session& s);
-    void receive(const SessionPtr& s, std::string_view bytes, double arrivedAt);
+    void receive(const SessionPtr& s, std::string_view bytes, double arrivedAt,
+                 const io::ReadArrival& arrival);
     bool admitCurrent(Session& s);
-    void waitForMemory(Session& s, std::string_view rest, double arrivedAt);
+    void waitForMemory(Session& s, std::string_view rest, double arrivedAt, const io::ReadArrival& arrival);
     void addToWaiting(Session& s);
     void retryAdmission(const SessionPtr& s);
     void retryAdmissions();
@@ -105,6 +108,14 @@
     bool clientWaiting(const SessionPtr& s);
     void clientLeft(const SessionPtr& s);
     void sendContinue(Session& s);
+    void givePlace(Session& s, ReceivedRequest& request, const io::Arrival& arrival);
+    void givePlacesToWaitingUploads();
+    void settleOrder();
+    bool mustBeReadFurther(const Session& s, const io::ArrivalPoint& until) const;
+    std::vector<SessionPtr> readableSessions();
+    std::optional<io::ArrivalPoint> readArrived(const io::ArrivalPoint& until);
+    void serveOrdered(const std::vector<KeyOrder::ConnectionNumber>& connections);
+    bool waitsForOrder(Session& s);
     void serveNext(const SessionPtr& s);
     void dispatch(const SessionPtr& s, ReceivedRequest request);
     void submit(const SessionPtr& s, ReceivedRequest request);
@@ -127,6 +138,7 @@
     host::MemoryBudget& memory_;
     std::deque<std::uint64_t> waiting_;  // numbers of sessions that wait for memory, and of ended ones
     std::uint64_t nextSession_ = 0;
+    KeyOrder keyOrder_;
     std::unordered_map<std::uint64_t, SessionPtr> sessions_;
     RequestIds ids_;
     bool reportsReady_ = false, expectsConnections_ = true, draining_ = false, listening_ = true;
@@ -135,7 +147,7 @@
     std::function<void(const RejectedRequest&)> onRejected_;
     Counts counts_;
     ReadTurns turns_;
-    io::Timer sweepTimer_, admissionTimer_, pausedTimer_, turnTimer_;
+    io::Timer sweepTimer_, admissionTimer_, pausedTimer_, turnTimer_, orderTimer_;
     std::unique_ptr<io::Listener> listener_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/fronts/http/server_reading.cpp
+++ b/src/fronts/http/server_reading.cpp
@@ -15,7 +15,7 @@
         return;
     }
     s->state.lastByteAt = io::nowMs();
-    receive(s, bytes, s->connection->arrivedAtMs());
+    receive(s, bytes, s->connection->arrivedAtMs(), s->connection->readArrival());
     updateMemory(*s);
 }
 
@@ -33,7 +33,8 @@
 
 // Reading continues while a request is open, so that the client's end of stream is noticed. What comes
 // behind it is kept, left in the socket, or refused in its turn.
-void Server::receive(const SessionPtr& s, std::string_view bytes, double arrivedAt) {
+void Server::receive(const SessionPtr& s, std::string_view bytes, double arrivedAt,
+                     const io::ReadArrival& arrival) {
     using Result = RequestReader::Result;
     while (s->connection->open() && s->state.phase != Phase::Closing) {
         const bool resting = s->state.phase == Phase::Silent || s->state.phase == Phase::Idle;
@@ -42,11 +43,13 @@
             case Result::NeedMore:
                 return;
             case Result::NeedMemory:
-                if (!admitCurrent(*s)) return waitForMemory(*s, bytes, arrivedAt);
+                if (!admitCurrent(*s)) return waitForMemory(*s, bytes, arrivedAt, arrival);
                 break;
             case Result::Complete:
                 s->state.first = false;
                 ++s->requestsRead;
+                givePlace(*s, s->reader.queue().back(),
+                          bytes.empty() ? arrival.lastByte : arrival.earlierBytes);
                 serveNext(s);
                 break;
         }
@@ -77,9 +80,11 @@
     s.connection->flush();
 }
 
-void Server::waitForMemory(Session& s, std::string_view rest, double arrivedAt) {
+void Server::waitForMemory(Session& s, std::string_view rest, double arrivedAt,
+                           const io::ReadArrival& arrival) {
     s.held = std::string(rest);
     s.heldArrivedAt = arrivedAt;
+    s.heldArrival = arrival;
     s.waitsSince = io::nowMs();
     s.connection->pauseReading();
     ++counts_.memoryWaits;
@@ -96,7 +101,7 @@
     s->waitsSince = -1;
     const auto held = std::exchange(s->held, {});
     s->connection->resumeReading();
-    receive(s, held, s->heldArrivedAt);
+    receive(s, held, s->heldArrivedAt, io::ReadArrival(s->heldArrival));
     updateMemory(*s);
 }
 
--- a/src/fronts/http/session.hpp
+++ b/src/fronts/http/session.hpp
@@ -25,6 +25,8 @@
     // Read but not parsed, because the request before it waits for memory since `waitsSince` (negative: no).
     std::string held;
     double heldArrivedAt = 0, waitsSince = -1;
+    io::ReadArrival heldArrival;
+    ConnectionArrivals arrivals;  // of the requests that were given a place
     bool inWaitingList = false;
     double hiddenSince = -1;  // since when the end of its client's stream may be hidden; negative: it is not
     bool readsOn = false;     // more came behind the open request than an end of stream would be seen behind
--- a/src/io/connection.cpp
+++ b/src/io/connection.cpp
@@ -8,6 +8,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "io/receive_stamps.hpp"
+
 namespace spokewheel::io {
 namespace {
 
@@ -121,6 +123,7 @@
 std::shared_ptr<Connection> Connection::adopt(GSocket* socket, double waitingSinceMs) {
     std::shared_ptr<Connection> c(new Connection(socket));
     c->tracksArrivals_ = true;
+    requestReceiveStamps(g_socket_get_fd(socket));
     c->arrivedNotBeforeMs_ = waitingSinceMs;
     c->moreUnread_ = c->readable();
     g_socket_set_blocking(socket, FALSE);
@@ -174,10 +177,15 @@
     if (!socket_ || paused_ || connecting_) return 0;
     const auto keep = shared_from_this();
     noteArrival();
+    if (tracksArrivals_) noteReadArrival(readChunk_);
     ErrorHolder error;
     const gssize n = g_socket_receive(socket_, buffer, readChunk_, nullptr, &error.e);
     if (n > 0) {
         moreUnread_ = tracksArrivals_ && readable();
+        if (!moreUnread_) {
+            lastRun_.reset();
+            segmentsRead_ = segmentsSeen_;
+        }
         if (handler_.data) handler_.data({buffer, static_cast<std::size_t>(n)});
         return static_cast<std::size_t>(n);
     }
@@ -330,6 +338,7 @@
 Listener::Listener(const Address& address, std::function<void(std::shared_ptr<Connection>)> onAccepted)
     : onAccepted_(std::move(onAccepted)) {
     socket_ = createBoundSocket(address, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP);
+    requestReceiveStamps(g_socket_get_fd(socket_));
     GSocketAddress* local = g_socket_get_local_address(socket_, nullptr);
     port_ = local ? g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(local)) : address.port;
     if (local) g_object_unref(local);
@@ -386,9 +395,13 @@
     watch();
 }
 bool Listener::hasPending() const { return socket_ && g_socket_condition_check(socket_, G_IO_IN) != 0; }
-void Listener::acceptPendingThenStop() {
+bool Listener::acceptPending() {
     while (source_ && hasPending())
-        if (!onReadable()) return;
+        if (!onReadable()) return false;
+    return true;
+}
+void Listener::acceptPendingThenStop() {
+    if (!acceptPending()) return;
     if (!hasPending()) stop();
 }
 Listener::~Listener() { stop(); }
--- a/src/io/connection.hpp
+++ b/src/io/connection.hpp
@@ -8,10 +8,13 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "io/arrival_clock.hpp"
 #include "io/byte_stream.hpp"
 #include "io/loop.hpp"
 
@@ -31,6 +34,13 @@
 
 enum class DisconnectReason { ByPeer, Reset, ConnectFailed };
 
+// When the bytes of one read arrived. The kernel stamps what arrives, and joins what waits in a socket under
+// its latest stamp: so the time of the last byte of such a run is known, and that of those before it only if
+// the run came in one segment.
+struct ReadArrival {
+    Arrival lastByte, earlierBytes;
+};
+
 class Connection : public ByteStream, public std::enable_shared_from_this<Connection> {
   public:
     struct Handler {
@@ -72,6 +82,7 @@
     // latest observeUnread() that found nothing.
     void pauseReading() override;
     void resumeReading() override;
+    bool readingPaused() const { return paused_; }
     void observeUnread();
     // The most bytes that one call of the handler's `data` gets; at most 256 KiB.
     void setReadChunk(std::size_t bytes);
@@ -84,6 +95,14 @@
     // During `data` on an accepted connection: when the bytes arrived, on nowMs(). The current time, unless
     // the process was delayed; then the earliest time at which they can have arrived.
     double arrivedAtMs() const;
+    // The same as points in the order in which the input of all accepted connections arrived.
+    const ReadArrival& readArrival() const { return readArrival_; }
+    // Nothing that is unread arrived before this point.
+    ArrivalPoint earliestUnread() const;
+    // When the byte arrived that is the `count`-th of those unread; nothing if it has not arrived.
+    std::optional<Arrival> arrivalOfUnread(std::size_t count) const;
+    // The indices of those of the connections that have something to read now.
+    static std::vector<std::size_t> readableOf(const std::vector<std::shared_ptr<Connection>>& connections);
     // Unread bytes or an end of stream are waiting. Also finds idle connections that the peer has closed.
     bool readable() const;
     bool hungUp() const;  // both directions have ended, or an error occurred; unread data may remain
@@ -104,6 +123,7 @@
     void watchWritable();
     bool onReadable();
     void noteArrival();
+    void noteReadArrival(std::size_t most);
     bool onWritable();
     bool sendQueued(GError** error);
     void fail(DisconnectReason reason);
@@ -120,6 +140,9 @@
     // unread in the socket (moreUnread_).
     double arrivedNotBeforeMs_ = 0;
     bool tracksArrivals_ = false, moreUnread_ = false;
+    ReadArrival readArrival_;
+    std::optional<ArrivalPoint> lastRun_;                // that was read since the socket was last seen empty
+    std::uint32_t segmentsRead_ = 0, segmentsSeen_ = 0;  // when it was last empty; at the latest read
     bool connecting_ = false, paused_ = false, shutdownPending_ = false, failedLocally_ = false,
          droppedUnsentBytes_ = false;
 };
@@ -145,6 +168,8 @@
     void pause();
     void resume();
     bool hasPending() const;  // connections wait to be accepted
+    // Accepts the connections that wait. Returns false if this paused or stopped the listener.
+    bool acceptPending();
     // Accepts the waiting connections, then stops. Keeps listening if some can't be accepted now; the caller
     // then has to call again later.
     void acceptPendingThenStop();
--- a/src/platform/report.cpp
+++ b/src/platform/report.cpp
@@ -151,6 +151,7 @@
     log.event(Level::Info, "pulse_work",
               {{"errors", text(server.errors)},
                {"expired", text(server.expired)},
+               {"unordered", text(server.unordered)},
                {"gave_way", text(server.gaveWay)},
                {"steps", text(c.steps)},
                {"step_ms", formatUnits(c.stepMs)},
--- a/tests/gateway/socket_client.hpp
+++ b/tests/gateway/socket_client.hpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,6 +20,8 @@
     explicit SocketClient(int port, int receiveBuffer = 0)
         : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
         if (receiveBuffer) setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+        const int on = 1;  // what is sent in small parts arrives in them
+        setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(static_cast<std::uint16_t>(port));
