Nodes: a second answer that crosses the next request is not taken for its answer

Cause: a connection to a disk server was used again 12 ms after its answer, whatever the way there and back takes. A copy that was sent before the next request arrived there crosses it, and was taken for its answer.

Change: what crosses a request arrives sooner than the way there and back. The shortest exchange of late with each disk server is known; on a connection that rested for 12 to 100 ms what comes within half of it is no answer: the connection is closed and the module decides. Writes take connections that rested for 100 ms, or new ones. A disk server that sent a surplus has its connections used once for 2 s.

--- a/src/nodes/decide_link.hpp
+++ b/src/nodes/decide_link.hpp
@@ -54,17 +54,76 @@
 // decision and its first byte (500 ms).
 constexpr double kRedialDelayMs = 15, kRedialPeriodMs = 150;
 
-// Picks the idle connection to reuse, by index; none: a new one is made. A node may close a connection right
-// after a response, or send more than belongs to it: a request written before that is noticed ends in a
-// reset, or is given the surplus as its response. So a connection is not reused for `reuseDelayMs` after its
-// response. Of the others the most recently used one is taken, as it is the least likely to have been closed
-// for idleness.
-inline std::optional<std::size_t> pickIdleLink(const std::vector<double>& idleSince, double nowMs,
-                                               double reuseDelayMs) {
-    std::optional<std::size_t> best;
-    for (std::size_t i = 0; i < idleSince.size(); ++i)
-        if (nowMs - idleSince[i] >= reuseDelayMs && (!best || idleSince[i] >= idleSince[*best])) best = i;
-    return best;
+// A node may send more than belongs to a response: a second copy of it, or noise, some time later and only
+// while it has no request on the connection. What arrives before the next request is written is noticed. What
+// is on its way by then arrives sooner after it than the way there and back takes, which a response to the
+// request can't.
+struct ReuseRules {
+    double reuseDelayMs = 0;  // a connection is not reused for that long after a response
+    // After that long nothing more of the previous exchange is expected; 0: at once.
+    double settledAfterMs = 0;
+    // How long after a surplus the connections to its node are used for one request each.
+    double surplusMemoryMs = 0;
+};
+
+// What is known of the exchanges with one node.
+class NodeExchanges {
+  public:
+    // The first byte of a response came `exchangeMs` after its request was begun to be written, on a
+    // connection on which it can't have been anything else.
+    void onResponseBegan(double exchangeMs, double nowMs) {
+        if (nowMs >= spanStartedMs_ + kSpanMs) {
+            previousLeastMs_ = nowMs < spanStartedMs_ + 2 * kSpanMs ? leastMs_ : std::nullopt;
+            leastMs_.reset();
+            spanStartedMs_ = nowMs;
+        }
+        leastMs_ = std::min(leastMs_.value_or(exchangeMs), exchangeMs);
+    }
+    void onSurplus(double nowMs) { surplusAtMs_ = nowMs; }
+    bool surplusIsNew(const ReuseRules& rules, double nowMs) const {
+        return surplusAtMs_ && nowMs - *surplusAtMs_ < rules.surplusMemoryMs;
+    }
+    // The shortest exchange of late, which took the way there and back at least. Nothing if none is known.
+    std::optional<double> leastMs(double nowMs) const {
+        if (nowMs >= spanStartedMs_ + 2 * kSpanMs) return std::nullopt;
+        if (!leastMs_ || !previousLeastMs_) return leastMs_ ? leastMs_ : previousLeastMs_;
+        return std::min(*leastMs_, *previousLeastMs_);
+    }
+
+  private:
+    static constexpr double kSpanMs = 10000;
+    double spanStartedMs_ = -1e18;
+    std::optional<double> leastMs_, previousLeastMs_;  // of this span of time and of the one before
+    std::optional<double> surplusAtMs_;
+};
+
+// An idle connection that is reused.
+struct Reuse {
+    std::size_t index = 0;
+    // What arrives sooner than this after the request is begun to be written is no response to it; 0: all is.
+    double notBeforeMs = 0;
+};
+
+// Picks the idle connection to reuse; none: a new one is made. Of those that have settled the most recently
+// used one is taken, as it is the least likely to have been closed for idleness. Others only do if what
+// belongs to the previous exchange would be recognised, and if the request may be sent again then.
+inline std::optional<Reuse> pickIdleLink(const std::vector<double>& idleSince, double nowMs,
+                                         const ReuseRules& rules, const NodeExchanges& node,
+                                         bool repeatable) {
+    if (node.surplusIsNew(rules, nowMs)) return std::nullopt;
+    const auto mostRecent = [&](double idleMs) {
+        std::optional<std::size_t> best;
+        for (std::size_t i = 0; i < idleSince.size(); ++i)
+            if (nowMs - idleSince[i] >= idleMs && (!best || idleSince[i] >= idleSince[*best])) best = i;
+        return best;
+    };
+    if (const auto settled = mostRecent(std::max(rules.reuseDelayMs, rules.settledAfterMs)))
+        return Reuse{*settled, 0};
+    // A response may be faster than any of late, but hardly twice as fast.
+    constexpr double kFastestResponse = 0.5;
+    const auto leastMs = node.leastMs(nowMs);
+    const auto recent = repeatable && leastMs ? mostRecent(rules.reuseDelayMs) : std::nullopt;
+    return recent ? std::optional(Reuse{*recent, kFastestResponse * *leastMs}) : std::nullopt;
 }
 
 }  // namespace spokewheel::nodes
--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -17,9 +17,13 @@
     std::uint64_t attempt = 0;      // that uses it; 0: idle
     std::uint64_t wroteBefore = 0;  // bytes written on it before the current attempt
     bool ready = false, retired = false;
-    int interim = 0;       // number of interim responses to the current attempt
-    double idleSince = 0;  // valid while idle
-    double idledMs = -1;   // before the current attempt; negative: a new connection
+    int interim = 0;          // number of interim responses to the current attempt
+    double idleSince = 0;     // valid while idle
+    double idledMs = -1;      // before the current attempt; negative: a new connection
+    double writtenAt = 0;     // when the request of the current attempt was begun to be written
+    double notBeforeMs = 0;   // after that: what comes sooner is no response (Reuse)
+    bool responding = false;  // something has come since
+    bool surplus = false;     // which was no response to the request
     // Read but not parsed, because the body of the response waits for memory.
     std::string held;
     bool waits = false;
@@ -146,15 +150,19 @@
             idle.push_back(link);
             since.push_back(link->idleSince);
         }
-    if (const auto i = pickIdleLink(since, io::nowMs(), dialect_.reuseDelayMs)) {
-        const auto link = idle[*i];
+    const bool repeatable = pending.request->method != "PUT";
+    if (const auto reuse =
+            pickIdleLink(since, io::nowMs(), dialect_.reuse, exchangesWith(pending.node), repeatable)) {
+        const auto link = idle[reuse->index];
         const double idledMs = io::nowMs() - link->idleSince;
         const bool distrusted = dialect_.learnsIdleLimit && !idleReuse_.mayReuse(idledMs);
+        if (link->connection->unreadBytes() > 0) exchanges_[pending.node].onSurplus(io::nowMs());
         if (distrusted || link->connection->readable()) {  // closed by the node, or an unexpected response
             drop(link, distrusted ? LinkCloseReason::Distrusted : LinkCloseReason::UsedByNode);
             return start(id);
         }
         link->idledMs = idledMs;
+        link->notBeforeMs = reuse->notBeforeMs;
         link->attempt = id;
         pending.link = link;
         return transmit(link);
@@ -232,6 +240,8 @@
     // node may have been listed as draining, restarted or moved.
     if (link->retired || (pending.mayBegin && !pending.mayBegin()))
         return pending.deferred.arm(0, [this, id = link->attempt] { end(id, Outcome::NotSent, true); });
+    link->writtenAt = io::nowMs();
+    link->responding = false;
     const auto& request = *pending.request;
     if (request.method == "HEAD") link->parser.expectNoBody();
     link->interim = 0;
@@ -254,8 +264,13 @@
 
 void NodeClient::onData(const LinkPtr& link, std::string_view bytes) {
     using Result = wire::http::Parser::Result;
-    if (!link->attempt) return drop(link, LinkCloseReason::UsedByNode);  // a response to no request
+    if (!link->attempt) {  // a response to no request
+        exchanges_[link->node].onSurplus(io::nowMs());
+        return drop(link, LinkCloseReason::UsedByNode);
+    }
     const auto id = link->attempt;
+    if (!std::exchange(link->responding, true) && isSurplus(*link))
+        return end(id, mayHaveRun(*link) ? Outcome::ConnectionLost : Outcome::NotSent, false);
     auto& pending = *pending_.at(id);
     std::string_view body;
     for (;;) switch (link->parser.next(bytes, body)) {
@@ -291,6 +306,7 @@
                 break;
             case Result::End: {
                 const bool early = link->connection->queued() > 0;  // the request is not written completely
+                if (!bytes.empty()) exchanges_[link->node].onSurplus(io::nowMs());
                 const bool keep = !link->parser.closesConnection() && bytes.empty() && !early;
                 return end(id, pending.result.outcome, keep);
             }
@@ -299,6 +315,17 @@
         }
 }
 
+// Whether the first bytes after a request came sooner than a response to it can, and so belong to the
+// exchange before.
+bool NodeClient::isSurplus(Link& link) {
+    auto& exchanges = exchanges_[link.node];
+    const double afterMs = link.connection->arrivedAtMs() - link.writtenAt;
+    link.surplus = afterMs < link.notBeforeMs;
+    if (link.surplus) exchanges.onSurplus(io::nowMs());
+    else if (link.notBeforeMs == 0) exchanges.onResponseBegan(afterMs, io::nowMs());
+    return link.surplus;
+}
+
 // Takes memory for a response body of that length; false if there is none.
 bool NodeClient::takeMemory(PendingAttempt& pending, std::uint64_t bytes) {
     const auto held = pending.memory.bytes();
@@ -354,8 +381,8 @@
 }
 
 const char* nameOf(LinkCloseReason reason) {
-    static constexpr const char* kNames[] = {"by_node",      "not_reusable", "idle",     "distrusted",
-                                             "used_by_node", "retired",      "made_room"};
+    static constexpr const char* kNames[] = {"by_node",      "not_reusable", "idle",    "distrusted",
+                                             "used_by_node", "surplus",      "retired", "made_room"};
     static_assert(std::size(kNames) == static_cast<std::size_t>(LinkCloseReason::Count));
     return kNames[static_cast<std::size_t>(reason)];
 }
@@ -366,7 +393,26 @@
     keep->connection->close();
     auto& links = links_[keep->node];
     links.erase(std::remove(links.begin(), links.end(), keep), links.end());
-    if (links.empty()) links_.erase(keep->node);  // or the map would grow with every node ever listed
+    if (!links.empty()) return;
+    links_.erase(keep->node);  // or the map would grow with every node ever listed
+    forgetExchanges();
+}
+
+const NodeExchanges& NodeClient::exchangesWith(const std::string& node) const {
+    static const NodeExchanges none;
+    const auto found = exchanges_.find(node);
+    return found == exchanges_.end() ? none : found->second;
+}
+
+// Forgets the nodes without a connection, but for those that sent a surplus of late.
+void NodeClient::forgetExchanges() {
+    constexpr std::size_t kMostWithoutLink = 64;
+    if (exchanges_.size() <= links_.size() + kMostWithoutLink) return;
+    for (auto entry = exchanges_.begin(); entry != exchanges_.end();) {
+        const bool forget =
+            !links_.count(entry->first) && !entry->second.surplusIsNew(dialect_.reuse, io::nowMs());
+        entry = forget ? exchanges_.erase(entry) : std::next(entry);
+    }
 }
 
 void NodeClient::end(std::uint64_t id, Outcome outcome, bool keepLink) {
@@ -375,13 +421,15 @@
     const auto pending = std::move(found->second);
     pending_.erase(found);
     if (const auto link = pending->link) {
-        if (outcome == Outcome::Served || outcome == Outcome::ConnectionLost)
+        if (!link->surplus && (outcome == Outcome::Served || outcome == Outcome::ConnectionLost))
             idleReuse_.recordExchange(link->idledMs, outcome == Outcome::ConnectionLost, io::nowMs());
         link->attempt = 0;
         link->idleSince = io::nowMs();
         const auto& links = links_[link->node];
         const auto idle = std::count_if(links.begin(), links.end(), [](auto& l) { return !l->attempt; });
-        if (!keepLink || link->retired)
+        const bool once = exchangesWith(link->node).surplusIsNew(dialect_.reuse, io::nowMs());
+        if (link->surplus || once) drop(link, LinkCloseReason::Surplus);
+        else if (!keepLink || link->retired)
             drop(link, link->retired ? LinkCloseReason::Retired : LinkCloseReason::NotReusable);
         else if (static_cast<std::size_t>(idle) > limits_.maxIdlePerNode)
             drop(link, LinkCloseReason::MadeRoom);
--- a/src/nodes/node_client.hpp
+++ b/src/nodes/node_client.hpp
@@ -34,7 +34,7 @@
     // Whether only a request that was written completely can have run. If not, any of which a byte was
     // written may have.
     bool runsOnlyWhenComplete = false;
-    double reuseDelayMs = 0;       // between a response and the next request; see pickIdleLink()
+    ReuseRules reuse;              // of idle connections; see pickIdleLink()
     bool learnsIdleLimit = false;  // whether to use IdleReusePolicy
 };
 // The gateway's own protocol: a node's name is its address, and there are `Spokewheel-*` fields and
@@ -57,6 +57,7 @@
     IdleTooLong,  // PoolLimits::idleTimeoutMs
     Distrusted,   // refused by IdleReusePolicy
     UsedByNode,   // the node sent something while no request was open on it
+    Surplus,      // something came on it that is no response to its request
     Retired,      // its node is gone, draining, moved or restarted
     MadeRoom,     // to stay within the limits on connections
     Count
@@ -106,6 +107,9 @@
     void retryMemory();
     bool makeRoom();  // false if every connection is in use
     bool mayHaveRun(const Link& link) const;
+    bool isSurplus(Link& link);
+    void forgetExchanges();
+    const NodeExchanges& exchangesWith(const std::string& node) const;
 
     PoolLimits limits_;
     Dialect dialect_;
@@ -118,6 +122,8 @@
     std::array<std::uint64_t, static_cast<std::size_t>(LinkCloseReason::Count)> closes_{};
     std::unordered_map<std::uint64_t, std::unique_ptr<PendingAttempt>> pending_;
     std::map<std::string, std::vector<LinkPtr>> links_;  // by node, idle and in use
+    // By node: those that have a connection, or that sent a surplus of late.
+    std::map<std::string, NodeExchanges> exchanges_;
 };
 
 // The outcome of a response by its status. "Not executed" (Rejected) are 503, and 400 with
--- a/src/platform/dialect.cpp
+++ b/src/platform/dialect.cpp
@@ -9,9 +9,12 @@
 namespace {
 
 constexpr double kMaxFieldValue = 1e9;
-// Round trips take a fraction of a millisecond, but a disk server may send a second answer some milliseconds
-// late. On a connection already in use again, it would be taken for the answer to the next request.
+// A disk server may send a second answer some milliseconds late. On a connection already in use again, it
+// would be taken for the answer to the next request.
 constexpr double kReuseDelayMs = 12;
+// Well beyond "some milliseconds", on every way there and back that a connection may have.
+constexpr double kSettledAfterMs = 100;
+constexpr double kSurplusMemoryMs = 2000;
 
 // A value that can't be parsed is ignored: the answer itself is valid.
 std::optional<double> numericField(const wire::http::Head& head, const char* name) {
@@ -52,7 +55,7 @@
     };
     d.probeTarget = probesTellLoad ? "/status/load" : "/health";
     d.runsOnlyWhenComplete = true;
-    d.reuseDelayMs = kReuseDelayMs;
+    d.reuse = {kReuseDelayMs, kSettledAfterMs, kSurplusMemoryMs};
     d.learnsIdleLimit = true;
     return d;
 }
