Front: an answer that is being sent is not cut for a newcomer or for a slow link

Cause: at the connection limit the connection goes that has been idle for longest, and one whose answer was still being sent counted as idle. And the 5 s for a client that reads nothing ran from the begin of the answer.

Change: a connection with a part of an answer that is not handed to the system is not evicted; where none may be, who comes waits or makes room for the next that comes. The 5 s run from the last byte that the client's machine acknowledged (SIOCOUTQ).

--- a/src/fronts/http/decide_connections.hpp
+++ b/src/fronts/http/decide_connections.hpp
@@ -2,6 +2,7 @@
 // one clock.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 
@@ -23,6 +24,7 @@
     bool unsent = false;    // part of an answer is not handed to the kernel yet
     bool hungUp = false;    // Closing: the peer has ended its side too
     double lastByteAt = 0;  // Receiving: when the latest bytes were read
+    double progressAt = 0;  // unsent: when the client last took some of it
 };
 
 // The first request must be complete this long after the connection was made: the platform demands an error
@@ -35,7 +37,7 @@
 // none of it was read.
 constexpr double kIdleTimeoutMs = 20000, kShortIdleTimeoutMs = 2050;
 // How long to wait for the client's end of stream after its answer was handed to the kernel, so that a reset
-// does not destroy the answer; and how long a slow reader may take until the answer has been handed over.
+// does not destroy the answer; and how long a slow reader of an answer may take nothing of it.
 constexpr double kCloseLingerMs = 500, kFlushTimeoutMs = 5000;
 // Bytes that are discarded on a closing connection before it is closed at once.
 constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
@@ -91,6 +93,7 @@
 // are ended as well.
 inline Decision decide(const ConnectionState& s, Capacity capacity, bool draining, double nowMs) {
     const double elapsedMs = nowMs - s.since;
+    const bool stalled = nowMs - std::max(s.since, s.progressAt) >= kFlushTimeoutMs;
     switch (s.phase) {
         case ConnectionState::Phase::Open:
             return {};
@@ -103,8 +106,8 @@
             if (s.unread || (!draining && elapsedMs < kFirstRequestTimeoutMs)) return {};
             return {CloseAction::ShutDown, draining ? CloseReason::Draining : CloseReason::Silent};
         case ConnectionState::Phase::Idle:
-            if (s.unsent && elapsedMs >= kFlushTimeoutMs)
-                return {CloseAction::Close, CloseReason::FlushTimeout};
+            if (s.unsent)
+                return stalled ? Decision{CloseAction::Close, CloseReason::FlushTimeout} : Decision{};
             if (s.unread || (!draining && elapsedMs < (capacity == Capacity::Ample ? kIdleTimeoutMs
                                                                                    : kShortIdleTimeoutMs)))
                 return {};
@@ -112,8 +115,7 @@
         case ConnectionState::Phase::Closing:
             if (s.hungUp) return {CloseAction::Close, CloseReason::LastAnswer};
             if (s.flushedAt < 0)
-                return elapsedMs >= kFlushTimeoutMs ? Decision{CloseAction::Close, CloseReason::FlushTimeout}
-                                                    : Decision{};
+                return stalled ? Decision{CloseAction::Close, CloseReason::FlushTimeout} : Decision{};
             return nowMs - s.flushedAt >= kCloseLingerMs
                        ? Decision{CloseAction::Close, CloseReason::LastAnswer}
                        : Decision{};
@@ -121,9 +123,15 @@
     return {};
 }
 
-// Whether `a` is evicted before `b` at the connection limit. For connections without an open request, which
-// are never evicted. Answered and flushed connections go first, then those that have been without a complete
-// request for longest, then those with unread or unsent data.
+// Whether the connection may be evicted at the connection limit: not if part of an answer would be lost. If
+// none may be, who comes has to wait.
+inline bool mayBeEvicted(const ConnectionState& s) {
+    return s.phase != ConnectionState::Phase::Open && (!s.unsent || s.hungUp);
+}
+
+// Whether `a` is evicted before `b` at the connection limit; for connections that may be. Answered and
+// flushed ones go first, then those that have been without a complete request for longest, then those with
+// unread or unsent data.
 inline bool evictedBefore(const ConnectionState& a, const ConnectionState& b) {
     const auto rank = [](const ConnectionState& s) {
         if (s.phase == ConnectionState::Phase::Closing) {
--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -95,7 +95,11 @@
 const ConnectionState& Server::updateState(Session& s) {
     auto& state = s.state;
     state.unread = state.phase != Phase::Open && (s.owesAnswers() || s.connection->readable());
-    state.unsent = s.connection->queued() > 0;
+    const bool wasUnsent = std::exchange(state.unsent, s.connection->queued() > 0);
+    if (state.unsent) {
+        const auto taken = s.connection->bytesAcknowledged();
+        if (taken != std::exchange(s.acknowledged, taken) || !wasUnsent) state.progressAt = io::nowMs();
+    }
     state.hungUp = state.phase == Phase::Closing && s.connection->hungUp();
     if (state.phase == Phase::Closing && state.flushedAt < 0 && s.connection->queued() == 0)
         state.flushedAt = io::nowMs();
@@ -103,12 +107,13 @@
 }
 
 // Called at the connection limit only, so a scan over all connections is cheap enough. If every connection
-// has a request to be answered, new ones wait in the kernel's backlog until one ends.
+// has a request to be answered, or an answer that its client is still reading, new ones wait in the kernel's
+// backlog until one ends.
 void Server::evictConnection() {
     SessionPtr victim;
     for (const auto& [number, s] : sessions_)
-        if (s->state.phase != Phase::Open && !s->owesAnswers() &&
-            (!victim || evictedBefore(updateState(*s), victim->state)))
+        if (mayBeEvicted(updateState(*s)) && !s->owesAnswers() &&
+            (!victim || evictedBefore(s->state, victim->state)))
             victim = s;
     if (!victim) return listener_->pause();
     ++counts_.gaveWay;
@@ -125,12 +130,15 @@
     if (!listening_) listener_->acceptPendingThenStop();
     const auto capacity = this->capacity();
     std::vector<std::pair<SessionPtr, Decision>> ending;
+    bool hasRoom = sessions_.size() < maxConnections_;
     for (const auto& [number, s] : sessions_) {
         updateMemory(*s);
         if (const auto decision = decide(updateState(*s), capacity, draining_, now);
             decision.action != CloseAction::Keep)
             ending.emplace_back(s, decision);
+        hasRoom = hasRoom || (mayBeEvicted(s->state) && !s->owesAnswers());
     }
+    if (hasRoom) listener_->resume();  // evictConnection() may have paused it
     for (const auto& [s, decision] : ending)
         if (decision.action == CloseAction::ErrorThenShutDown)
             sendError(s, RequestRule::NotWholeInTime, decision.reason);
--- a/src/fronts/http/session.hpp
+++ b/src/fronts/http/session.hpp
@@ -34,6 +34,7 @@
     std::uint64_t answers = 0;
     std::size_t requestsRead = 0;
     bool inShare = false;               // its answers are flushed together when the share ends
+    std::uint64_t acknowledged = 0;     // bytes of answers that the client's machine has taken
     std::size_t unreadAtClose = 0;      // bytes in the socket
     std::size_t discarded = 0;          // bytes discarded while closing
     bool failed = false;                // ended by an error response: later bytes need no answer
--- a/src/io/connection.cpp
+++ b/src/io/connection.cpp
@@ -1,6 +1,8 @@
 #include "io/connection.hpp"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -296,6 +298,11 @@
 std::size_t Connection::unreadBytes() const {
     return socket_ ? static_cast<std::size_t>(std::max<gssize>(0, g_socket_get_available_bytes(socket_))) : 0;
 }
+std::uint64_t Connection::bytesAcknowledged() const {
+    int inKernel = 0;
+    if (!socket_ || ioctl(g_socket_get_fd(socket_), SIOCOUTQ, &inKernel) != 0) return bytesSent_;
+    return bytesSent_ - std::min(bytesSent_, static_cast<std::uint64_t>(inKernel));
+}
 std::string Connection::remoteHost() const {
     std::string out;
     GSocketAddress* remote = socket_ ? g_socket_get_remote_address(socket_, nullptr) : nullptr;
--- a/src/io/connection.hpp
+++ b/src/io/connection.hpp
@@ -78,6 +78,8 @@
     std::string remoteHost() const;
     // Bytes that the kernel has accepted since the connection was made.
     std::uint64_t bytesSent() const { return bytesSent_; }
+    // Those of them that the peer's machine has acknowledged.
+    std::uint64_t bytesAcknowledged() const;
     // What arrives while reading is paused counts as having arrived at the pause (arrivedAtMs()), or at the
     // latest observeUnread() that found nothing.
     void pauseReading() override;
--- a/tests/gateway/socket_client.hpp
+++ b/tests/gateway/socket_client.hpp
@@ -17,9 +17,12 @@
 // A client on a plain socket that reads only when told to.
 class SocketClient {
   public:
-    explicit SocketClient(int port, int receiveBuffer = 0)
+    // With sizes in bytes of its receive buffer and of the segments that its link takes; 0: as the system has
+    // it.
+    explicit SocketClient(int port, int receiveBuffer = 0, int segmentSize = 0)
         : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
         if (receiveBuffer) setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+        if (segmentSize) setsockopt(fd_, IPPROTO_TCP, TCP_MAXSEG, &segmentSize, sizeof segmentSize);
         const int on = 1;  // what is sent in small parts arrives in them
         setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         sockaddr_in address{};
@@ -56,6 +59,14 @@
             return;
         }
     }
+    // Reads up to so many bytes of what has arrived.
+    void readUpTo(std::size_t bytes) {
+        std::string buffer(bytes, '\0');
+        const auto n = recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (n > 0) got.append(buffer, 0, static_cast<std::size_t>(n));
+        ended = ended || n == 0;
+        reset = reset || (n < 0 && errno != EAGAIN);
+    }
     int answers() const {
         int n = 0;
         for (std::size_t at = 0; (at = got.find("HTTP/1.1 ", at)) != got.npos; at += 9) ++n;
