Node client: reusing a connection and dialling are functions of their own

It now chooses between reuseLink() and dial(); the three places that end an attempt from the loop share endLater(). Behaviour is the same but that no empty entry of the pool is made and taken back. EndpointWatcher::moveTo() loses a reset that nothing depended on: without it every test of starts in an outage passes, as a reload forgets the last contact anyway.

--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -141,61 +141,69 @@
 }
 
 void NodeClient::start(std::uint64_t id) {
+    if (reuseLink(id)) return;
+    auto& pending = *pending_.at(id);
+    io::Address address;
+    const auto links = links_.find(pending.node);
+    const bool poolIsFull = links != links_.end() && links->second.size() >= limits_.maxPerNode;
+    if (poolIsFull || !dialect_.resolve(pending.node, address)) return endLater(id, Outcome::NoConnection);
+    if (connections() >= limits_.maxTotal && !makeRoom()) return endLater(id, Outcome::NotSent);
+    dial(id, address);
+}
+
+void NodeClient::endLater(std::uint64_t id, Outcome outcome) {
+    pending_.at(id)->deferred.arm(0, [this, id, outcome] { end(id, outcome, false); });
+}
+
+// Sends the attempt on an idle connection, if there is one to use.
+bool NodeClient::reuseLink(std::uint64_t id) {
     auto& pending = *pending_.at(id);
-    auto& links = links_[pending.node];
-    std::vector<LinkPtr> idle;
-    std::vector<double> since;
-    for (const auto& link : links)
-        if (!link->attempt && link->ready && !link->retired) {
-            idle.push_back(link);
-            since.push_back(link->idleSince);
-        }
     const bool repeatable = pending.request->method != "PUT";
-    if (const auto reuse =
-            pickIdleLink(since, io::nowMs(), dialect_.reuse, exchangesWith(pending.node), repeatable)) {
+    for (;;) {
+        const auto links = links_.find(pending.node);
+        if (links == links_.end()) return false;
+        std::vector<LinkPtr> idle;
+        std::vector<double> since;
+        for (const auto& link : links->second)
+            if (!link->attempt && link->ready && !link->retired) {
+                idle.push_back(link);
+                since.push_back(link->idleSince);
+            }
+        const double now = io::nowMs();
+        const auto reuse = pickIdleLink(since, now, dialect_.reuse, exchangesWith(pending.node), repeatable);
+        if (!reuse) return false;
         const auto link = idle[reuse->index];
-        const double idledMs = io::nowMs() - link->idleSince;
+        const double idledMs = now - link->idleSince;
         const bool distrusted = dialect_.learnsIdleLimit && !idleReuse_.mayReuse(idledMs);
-        if (link->connection->unreadBytes() > 0) exchanges_[pending.node].onSurplus(io::nowMs());
+        if (link->connection->unreadBytes() > 0) exchanges_[pending.node].onSurplus(now);
         if (distrusted || link->connection->readable()) {  // closed by the node, or an unexpected response
             drop(link, distrusted ? LinkCloseReason::Distrusted : LinkCloseReason::UsedByNode);
-            return start(id);
+            continue;
         }
         link->idledMs = idledMs;
         link->notBeforeMs = reuse->notBeforeMs;
         link->attempt = id;
         pending.link = link;
-        return transmit(link);
-    }
-    io::Address address;
-    if (links.size() >= limits_.maxPerNode || !dialect_.resolve(pending.node, address)) {
-        if (links.empty()) links_.erase(pending.node);
-        pending.deferred.arm(0, [this, id] { end(id, Outcome::NoConnection, false); });
-        return;
-    }
-    if (connections() >= limits_.maxTotal && !makeRoom()) {
-        if (links.empty()) links_.erase(pending.node);
-        pending.deferred.arm(0, [this, id] { end(id, Outcome::NotSent, false); });
-        return;
+        transmit(link);
+        return true;
     }
+}
+
+void NodeClient::dial(std::uint64_t id, const io::Address& address) {
+    auto& pending = *pending_.at(id);
     auto link = std::make_shared<Link>();
     link->node = pending.node;
     link->attempt = id;
     link->connection = io::Connection::dial(address);
     if (link->connection->failedLocally()) {
-        if (const auto at = links_.find(pending.node); at != links_.end() && at->second.empty())
-            links_.erase(at);
         const bool again = io::nowMs() + kRedialDelayMs < pending.startedAt + kRedialPeriodMs;
         return again ? pending.deferred.arm(kRedialDelayMs, [this, id] { start(id); })
-                     : pending.deferred.arm(0, [this, id] { end(id, Outcome::NotSent, false); });
+                     : endLater(id, Outcome::NotSent);
     }
     ++dials_;
-    links_[pending.node].push_back(link);  // makeRoom() may have erased `links`
+    links_[pending.node].push_back(link);
     pending.link = link;
-    if (!link->connection->open()) {
-        pending.deferred.arm(0, [this, id] { end(id, Outcome::NoConnection, false); });
-        return;
-    }
+    if (!link->connection->open()) return endLater(id, Outcome::NoConnection);
     if (memory_) link->connection->setReadChunk(kReadChunkBytes);
     const std::weak_ptr<Link> weak = link;
     const auto with = [this, weak](auto then) {
--- a/src/nodes/node_client.hpp
+++ b/src/nodes/node_client.hpp
@@ -96,6 +96,9 @@
     struct PendingAttempt;
     using LinkPtr = std::shared_ptr<Link>;
     void start(std::uint64_t id);
+    bool reuseLink(std::uint64_t id);
+    void dial(std::uint64_t id, const io::Address& address);
+    void endLater(std::uint64_t id, Outcome outcome);
     void transmit(const LinkPtr& link);
     void onConnected(const LinkPtr& link);
     void onData(const LinkPtr& link, std::string_view bytes);
--- a/src/registry/endpoint_watcher.cpp
+++ b/src/registry/endpoint_watcher.cpp
@@ -22,7 +22,6 @@
 void EndpointWatcher::moveTo(const io::Address& at) {
     at_ = at;
     watch_.resetDelays();  // no attempt at the new address has failed yet
-    unansweredSince_.reset();
     connect();
 }
 
