Nodes: answers without a known length are charged for what is really held for them

Cause: such a body was charged by its length so far, while the string that held it grew to twice its capacity, beside its former copy.

Change: the account counts capacity; the body grows by steps of 16 and 64 KB, and a step is taken only if it and the former copy fit. Beyond 64 KB it gets an eighth of what is free, while half of the budget is free (decide_answer_memory.hpp); otherwise the attempt ends as a server's error. The front hands an answer on instead of copying it behind its head.

--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -268,7 +268,7 @@
     wire::http::Fields fields;
     switch (a.kind) {
         case host::Answer::Kind::Served:
-            sendAnswer(s, 200, {}, a.body, s->openIsLast);
+            sendAnswer(s, 200, {}, std::move(a.body), s->openIsLast);
             break;
         case host::Answer::Kind::Refused:
             if (a.retryAfterMs > 0) {
@@ -288,13 +288,14 @@
     if (s->connection->open()) updateMemory(*s);
 }
 
-void Server::sendAnswer(const SessionPtr& s, int status, wire::http::Fields fields, const std::string& body,
+void Server::sendAnswer(const SessionPtr& s, int status, wire::http::Fields fields, std::string body,
                         bool last, CloseReason reason) {
     // A connection that this side wants to close is kept while further requests are waiting on it.
     const bool more = !s->reader.queue().empty() || s->reader.inMessage() || s->connection->readable();
     last = last || ((draining_ || capacity() == Capacity::Exhausted) && !more);
     if (last) fields.emplace_back("Connection", "close");
-    s->connection->write(wire::http::responseHead(status, fields, body.size()) + body);
+    s->connection->write(wire::http::responseHead(status, fields, body.size()));
+    s->connection->write(std::move(body));
     ++s->answers;
     if (last) shutDown(s, reason);
     else enterPhase(*s, Phase::Idle);
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -120,8 +120,8 @@
     void dispatch(const SessionPtr& s, ReceivedRequest request);
     void submit(const SessionPtr& s, ReceivedRequest request);
     void onAnswer(const SessionPtr& s, host::Answer answer);
-    void sendAnswer(const SessionPtr& s, int status, wire::http::Fields fields, const std::string& body,
-                    bool last, CloseReason reason = CloseReason::LastAnswer);
+    void sendAnswer(const SessionPtr& s, int status, wire::http::Fields fields, std::string body, bool last,
+                    CloseReason reason = CloseReason::LastAnswer);
     void sendError(const SessionPtr& s, wire::http::RequestRule rule, CloseReason reason,
                    const std::string& request = {});
     void shutDown(const SessionPtr& s, CloseReason reason);
--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -301,14 +301,14 @@
                     return end(id, Outcome::ServerError, false);
                 pending.result = dialect_.interpret(head);
                 pending.result.status = head.status;
-                if (!takeMemory(pending, link->parser.remainingBodyBytes()))
+                if (!takeMemory(pending, link->parser.remainingBodyBytes(), true))
                     return waitForMemory(link, bytes);
                 break;
             }
             case Result::Body:
                 // The memory of a body without a known length is taken as it comes.
                 if (pending.result.body.size() + body.size() > pending.request->maxResponseBytes ||
-                    !takeMemory(pending, pending.result.body.size() + body.size()))
+                    !takeMemory(pending, pending.result.body.size() + body.size(), false))
                     return end(id, Outcome::ServerError, false);
                 pending.result.body += body;
                 break;
@@ -334,12 +334,22 @@
     return link.surplus;
 }
 
-// Takes memory for a response body of that length; false if there is none.
-bool NodeClient::takeMemory(PendingAttempt& pending, std::uint64_t bytes) {
-    const auto held = pending.memory.bytes();
-    if (memory_ && bytes > held && bytes - held > memory_->free()) return false;
-    if (memory_ && bytes > held) pending.memory.resize(bytes);
-    pending.result.body.reserve(std::min<std::uint64_t>(bytes, kMaxReserveBytes));
+// Makes room for a response body of at least that length; false if there is no memory.
+bool NodeClient::takeMemory(PendingAttempt& pending, std::uint64_t bytes, bool lengthKnown) {
+    auto& body = pending.result.body;
+    if (!memory_) {
+        body.reserve(std::min<std::uint64_t>(bytes, kMaxReserveBytes));
+        return true;
+    }
+    if (bytes <= body.capacity()) return true;
+    const auto capacity = bodyCapacity(bytes, lengthKnown);
+    if (!mayTakeCapacity(capacity, lengthKnown, {memory_->capacity(), memory_->free()})) return false;
+    // std::string would grow to twice its capacity.
+    std::string grown;
+    grown.reserve(capacity);
+    grown += body;
+    body.swap(grown);
+    pending.memory.resize(body.capacity());
     return true;
 }
 
@@ -358,7 +368,7 @@
         const auto link = waiting_.front().lock();
         const auto found = link ? pending_.find(link->attempt) : pending_.end();
         if (found != pending_.end() && link->waits) {
-            if (!takeMemory(*found->second, link->parser.remainingBodyBytes())) return;
+            if (!takeMemory(*found->second, link->parser.remainingBodyBytes(), true)) return;
             link->waits = false;
             link->connection->resumeReading();
             onData(link, std::exchange(link->held, {}));
--- a/src/nodes/node_client.hpp
+++ b/src/nodes/node_client.hpp
@@ -17,6 +17,7 @@
 #include "host/memory_budget.hpp"
 #include "host/node_transport.hpp"
 #include "io/connection.hpp"
+#include "nodes/decide_answer_memory.hpp"
 #include "nodes/decide_link.hpp"
 #include "wire/http/message.hpp"
 
@@ -105,7 +106,7 @@
     void onClosed(const LinkPtr& link, io::DisconnectReason why);
     void end(std::uint64_t id, Outcome outcome, bool keepLink);
     void drop(const LinkPtr& link, LinkCloseReason reason);
-    bool takeMemory(PendingAttempt& pending, std::uint64_t bytes);
+    bool takeMemory(PendingAttempt& pending, std::uint64_t bytes, bool lengthKnown);
     void waitForMemory(const LinkPtr& link, std::string_view rest);
     void retryMemory();
     bool makeRoom();  // false if every connection is in use
