Node client: a delay of the process makes no answer a surplus

After a delay of more than 25 ms the arrival of what is read is only known to lie between two times. The earlier one, which may be before the request was written, was compared with a bound of 0 ms on connections on which nothing but an answer can come: so answers were taken for copies, and writes that run once failed with 502 though they had run.

On such connections nothing is compared now; on the others the earlier time counts, as a copy can't be told then and the read goes again. The shortest exchange is measured by the time of reading, which is never too short.

Tests: CrossingTest.AnAnswerFoundAfterAHoldUpIsNone fails without this (502 twice); AnAnswerThatComesSoonerThanAnyCanIsNone, new, has one copy from a server that has sent none before, which nothing but the comparison tells.

--- a/src/nodes/node_client.cpp
+++ b/src/nodes/node_client.cpp
@@ -323,14 +323,18 @@
         }
 }
 
-// Whether the first bytes after a request came sooner than a response to it can, and so belong to the
-// exchange before.
+// Whether the first bytes after a request may have come sooner than a response to it can, and so belong to
+// the exchange before.
 bool NodeClient::isSurplus(Link& link) {
     auto& exchanges = exchanges_[link.node];
-    const double afterMs = link.connection->arrivedAtMs() - link.writtenAt;
-    link.surplus = afterMs < link.notBeforeMs;
-    if (link.surplus) exchanges.onSurplus(io::nowMs());
-    else if (link.notBeforeMs == 0) exchanges.onResponseBegan(afterMs, io::nowMs());
+    const double now = io::nowMs();
+    if (link.notBeforeMs <= 0) {  // they can't
+        exchanges.onResponseBegan(now - link.writtenAt, now);
+        return false;
+    }
+    // After a delay of this process it is only known that they came between two times.
+    link.surplus = link.connection->arrivedAtMs() - link.writtenAt < link.notBeforeMs;
+    if (link.surplus) exchanges.onSurplus(now);
     return link.surplus;
 }
 
--- a/tests/gateway/platform_surplus_test.cpp
+++ b/tests/gateway/platform_surplus_test.cpp
@@ -1,8 +1,13 @@
 // Disk servers that send more than belongs to an answer some milliseconds later, over networks of several
 // lengths: no client gets what was made for another request, and nothing that runs once runs twice.
+#include <poll.h>
+
+#include <atomic>
+#include <chrono>
 #include <ostream>
 #include <random>
 #include <set>
+#include <thread>
 
 #include "platform_support.hpp"
 #include "socket_client.hpp"
@@ -154,5 +159,131 @@
                                            SurplusPlay{"AtOnce", 2.6, Surplus::CopyAtOnce, 0}),
                          [](const auto& info) { return info.param.name; });
 
+// A disk server on a thread of its own, which answers whatever the scheduler does. Each connection carries
+// the requests of the test; the answer names the request.
+class ThreadedServer {
+  public:
+    // Returns what to send for a request, in order.
+    using Answer = std::function<std::string(const std::string& id)>;
+    explicit ThreadedServer(Answer answer)
+        : answer_(std::move(answer)), listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof at;
+        EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+        EXPECT_EQ(listen(listener_, 16), 0);
+        getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
+        port_ = ntohs(at.sin_port);
+        thread_ = std::thread([this] { serve(); });
+    }
+    ~ThreadedServer() {
+        ending_ = true;
+        thread_.join();
+        close(listener_);
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    int answered() const { return answered_; }
+    int connections() const { return connections_; }
+
+  private:
+    void serve() {
+        std::vector<pollfd> open = {{listener_, POLLIN, 0}};
+        while (!ending_) {
+            if (poll(open.data(), open.size(), 5) <= 0) continue;
+            for (std::size_t i = open.size(); i-- > 1;)
+                if (open[i].revents && !onReadable(open[i].fd)) {
+                    close(open[i].fd);
+                    open.erase(open.begin() + static_cast<std::ptrdiff_t>(i));
+                }
+            if (!open[0].revents) continue;
+            open.push_back({accept(listener_, nullptr, nullptr), POLLIN, 0});
+            ++connections_;
+        }
+        for (std::size_t i = 1; i < open.size(); ++i) close(open[i].fd);
+    }
+    bool onReadable(int connection) {
+        char buffer[65536];
+        const auto n = recv(connection, buffer, sizeof buffer, 0);
+        if (n <= 0) return false;
+        const std::string text(buffer, static_cast<std::size_t>(n));
+        const auto at = text.find("X-Request-ID: ");
+        if (at == std::string::npos) return true;
+        const auto id = text.substr(at + 14, text.find("\r\n", at) - at - 14);
+        const auto bytes = answer_(id);
+        EXPECT_EQ(send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                  static_cast<ssize_t>(bytes.size()));
+        ++answered_;
+        return true;
+    }
+    Answer answer_;
+    int listener_, port_ = 0;
+    std::atomic<bool> ending_{false};
+    std::atomic<int> answered_{0}, connections_{0};
+    std::thread thread_;
+};
+
+class CrossingTest : public PlatformTest {
+  protected:
+    static constexpr double kServiceMs = 40;
+
+    void SetUp() override {
+        PlatformTest::SetUp();
+        known = listJson(41, true, memberJson("s-1", server.address(), 0));
+        startUntilReady();
+    }
+    static void work() { std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(kServiceMs)); }
+    // Status and body of the answer to a request.
+    std::pair<int, std::string> ask(const std::string& id, bool write = false) {
+        auto c = client();
+        RequestFields fields{.id = id, .timeout = "2400"};
+        if (write) fields.method = "PUT", fields.path = "/once", fields.requestClass = "once";
+        c->send(requestText(fields));
+        EXPECT_TRUE(runLoopUntil([&] { return c->answered(); }));
+        runLoopFor(5);
+        return {c->status(), c->got.substr(c->got.find("\r\n\r\n") + 4)};
+    }
+    std::string copy;  // of an earlier answer: is on its way when the next request arrives
+    ThreadedServer server{[this](const std::string& id) {
+        if (const auto crossing = std::exchange(copy, {}); !crossing.empty()) return crossing;
+        work();
+        return okResponse("content of " + id);
+    }};
+};
+
+// Guards against a copy that comes sooner than an answer can: it is the only sign of one on a server that has
+// sent none before.
+TEST_F(CrossingTest, AnAnswerThatComesSoonerThanAnyCanIsNone) {
+    EXPECT_EQ(ask("a").second, "content of a");
+    runLoopFor(15);
+    copy = okResponse("content of a");
+    const auto [status, body] = ask("b");
+    EXPECT_EQ(status, 200);
+    EXPECT_EQ(body, "content of b");
+    EXPECT_EQ(server.connections(), 2);
+}
+
+// Guards against an answer that is taken for a copy because the process was delayed: when it came is then
+// known only roughly, and on a new connection nothing else can come. The writes failed.
+TEST_F(CrossingTest, AnAnswerFoundAfterAHoldUpIsNone) {
+    for (const bool reused : {false, true}) {
+        auto c = client();
+        const auto id = reused ? "reused" : "new";
+        c->send(
+            requestText({.method = "PUT", .path = "/once", .requestClass = "once", .id = id, .body = "b"}));
+        const int before = server.answered();
+        // The test runs the loop only while the server has not answered.
+        runLoopUntil([&] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(static_cast<int>(kServiceMs) + 10));
+            return server.answered() > before;
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(60));
+        ASSERT_TRUE(runLoopUntil([&] { return c->answered(); }));
+        EXPECT_EQ(c->status(), 200) << id;
+        runLoopFor(150);
+    }
+    EXPECT_EQ(server.connections(), 1);
+}
+
 }  // namespace
 }  // namespace spokewheel::platform::testing
