Life signs: a witness reads what its list service has sent before it vouches

After a delay of the process the question of a peer may be read before the answer of the own list service, which came at the same time: the witness would say that its list service is silent. It now answers 20 ms later, so that what waits is read first.

Test: LifeSignsTest.WhatTheListServiceHasSentIsReadFirst fails without the delay. The other two of LifeSignsTest cover what was tested with real processes only: signs are sent once the list service has answered and not before.

--- a/src/platform/life_signs.cpp
+++ b/src/platform/life_signs.cpp
@@ -8,6 +8,13 @@
 namespace peer = wire::peer;
 using registry::VouchRefusal;
 
+namespace {
+
+// After a delay of this process a query may be read before what the list service has sent.
+constexpr double kAnswerDelayMs = 20;
+
+}  // namespace
+
 LifeSigns::LifeSigns(std::vector<int> witnesses, Callbacks callbacks)
     : witnesses_(std::move(witnesses)), callbacks_(std::move(callbacks)) {
     tick(true);
@@ -42,8 +49,14 @@
         return true;
     }
     const auto query = peer::readVouchQuery(bytes);
-    if (query) answer(from, *query);
-    return query.has_value();
+    if (!query) return false;
+    queries_[from] = *query;
+    if (!answerTimer_.armed()) answerTimer_.arm(kAnswerDelayMs, [this] { answerQueries(); });
+    return true;
+}
+
+void LifeSigns::answerQueries() {
+    for (const auto& [rank, query] : std::exchange(queries_, {})) answer(rank, query);
 }
 
 // Where this process can't vouch for the peer yet, the peer asks again.
--- a/src/platform/life_signs.hpp
+++ b/src/platform/life_signs.hpp
@@ -37,15 +37,17 @@
     void tick(bool sendsSigns);
     void sendSigns(double lastContactAt);
     void askIfDue();
+    void answerQueries();
     void answer(int peer, const wire::peer::VouchQuery& query);
 
     std::vector<int> witnesses_;
     Callbacks callbacks_;
     registry::PeerLives lives_;
     registry::AskLimit askLimit_;
+    std::map<int, wire::peer::VouchQuery> queries_;  // to be answered, by rank
     std::map<int, registry::VouchRefusal> decided_;
     std::int64_t noticedRevision_ = 0;
-    io::Timer timer_;
+    io::Timer timer_, answerTimer_;
 };
 
 }  // namespace spokewheel::platform
