Front: the order of a key is settled in the iteration that read the request

Cause: a request of a class that runs in order waited for the next iteration of the event loop before what had arrived before it was read, and each further one of its key for one more. That check also polled all client sockets. Change: the order is settled as soon as the share of a connection is read, for all requests of a key whose turn has come. Which connections have something to read is asked of each socket (FIONREAD), so that the loop polls no more often than before the order was kept. KeyOrder, HoldUp, Early, CrowdOfClients, ReadTurns, Surplus, LifeSigns and Confirmation tests: 73 of 73.

--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -37,9 +37,7 @@
       descriptors_(descriptors),
       maxConnections_(splitDescriptors(descriptors).clients),
       memory_(memory),
-      keyOrder_([this] {
-          if (!orderTimer_.armed()) orderTimer_.arm(0, [this] { settleOrder(); });
-      }) {
+      keyOrder_([this] { settleOrderLater(); }) {
     memory_.onRelease([this, alive = alive_] {
         if (*alive && !waiting_.empty() && !admissionTimer_.armed())
             admissionTimer_.arm(0, [this] { retryAdmissions(); });
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -111,6 +111,8 @@
     void givePlace(Session& s, ReceivedRequest& request, const io::Arrival& arrival);
     void givePlacesToWaitingUploads();
     void settleOrder();
+    void settleOrderLater();
+    void settleOrderNow();
     bool mustBeReadFurther(const Session& s, const io::ArrivalPoint& until) const;
     std::vector<SessionPtr> readableSessions();
     std::optional<io::ArrivalPoint> readArrived(const io::ArrivalPoint& until);
--- a/src/fronts/http/server_order.cpp
+++ b/src/fronts/http/server_order.cpp
@@ -40,8 +40,23 @@
         givePlacesToWaitingUploads();
         keyOrder_.release(newest, unreadSince);
     }
-    serveOrdered(keyOrder_.connectionsToServe());
-    if (keyOrder_.latestUnsettled() && !orderTimer_.armed()) orderTimer_.arm(0, [this] { settleOrder(); });
+    do {
+        orderTimer_.cancel();
+        serveOrdered(keyOrder_.connectionsToServe());
+    } while (orderTimer_.armed() && !turns_.exhausted());
+    if (keyOrder_.latestUnsettled()) settleOrderLater();
+}
+
+// Called when a request has got a place or given one up.
+void Server::settleOrderLater() {
+    if (!orderTimer_.armed()) orderTimer_.arm(0, [this] { settleOrder(); });
+}
+
+// Settles it in the same iteration: before the next one the process may be held up.
+void Server::settleOrderNow() {
+    if (!orderTimer_.armed()) return;
+    orderTimer_.cancel();
+    settleOrder();
 }
 
 // Reads what has arrived up to that point, as far as this iteration of the loop allows. Returns a point that
@@ -60,16 +75,13 @@
     return unreadSince;
 }
 
+// Those that have unread bytes: one that has only ended brings no request.
 std::vector<Server::SessionPtr> Server::readableSessions() {
-    std::vector<SessionPtr> candidates;
-    std::vector<std::shared_ptr<io::Connection>> connections;
+    std::vector<SessionPtr> out;
     for (const auto& [number, s] : sessions_) {
         if (s->state.phase == Phase::Closing || s->connection->readingPaused()) continue;
-        candidates.push_back(s);
-        connections.push_back(s->connection);
+        if (s->connection->unreadBytes() > 0) out.push_back(s);
     }
-    std::vector<SessionPtr> out;
-    for (const auto index : io::Connection::readableOf(connections)) out.push_back(candidates[index]);
     return out;
 }
 
--- a/src/fronts/http/server_reading.cpp
+++ b/src/fronts/http/server_reading.cpp
@@ -160,8 +160,9 @@
 
 // In each iteration of the loop in which the connection has something unread.
 void Server::onReadable(const SessionPtr& s) {
-    if (turns_.mayServe(s->number, priorityOf(*s), io::loopTurn())) serveShare(s);
-    else armTurnTimer();
+    if (!turns_.mayServe(s->number, priorityOf(*s), io::loopTurn())) return armTurnTimer();
+    serveShare(s);
+    settleOrderNow();
 }
 
 void Server::armTurnTimer() {
--- a/src/io/connection.hpp
+++ b/src/io/connection.hpp
@@ -103,8 +103,6 @@
     ArrivalPoint earliestUnread() const;
     // When the byte arrived that is the `count`-th of those unread; nothing if it has not arrived.
     std::optional<Arrival> arrivalOfUnread(std::size_t count) const;
-    // The indices of those of the connections that have something to read now.
-    static std::vector<std::size_t> readableOf(const std::vector<std::shared_ptr<Connection>>& connections);
     // Unread bytes or an end of stream are waiting. Also finds idle connections that the peer has closed.
     bool readable() const;
     bool hungUp() const;  // both directions have ended, or an error occurred; unread data may remain
--- a/src/io/connection_arrival.cpp
+++ b/src/io/connection_arrival.cpp
@@ -1,6 +1,4 @@
 // The part of Connection that finds out when what it reads arrived.
-#include <poll.h>
-
 #include <algorithm>
 
 #include "io/connection.hpp"
@@ -68,15 +66,4 @@
     return endsRun ? Arrival{latest, latest} : between(earliestUnread(), latest);
 }
 
-std::vector<std::size_t> Connection::readableOf(const std::vector<std::shared_ptr<Connection>>& connections) {
-    std::vector<pollfd> descriptors;
-    for (const auto& connection : connections)
-        descriptors.push_back({connection->socket_ ? g_socket_get_fd(connection->socket_) : -1, POLLIN, 0});
-    std::vector<std::size_t> out;
-    if (poll(descriptors.data(), descriptors.size(), 0) <= 0) return out;
-    for (std::size_t i = 0; i < descriptors.size(); ++i)
-        if (descriptors[i].revents) out.push_back(i);
-    return out;
-}
-
 }  // namespace spokewheel::io
