Front: accepting goes on over the connection limit only while somebody can be evicted

If that one then sent a request, accepting went on without a place for the next client, and the process had two connections over its limit.

--- a/src/fronts/http/server.cpp
+++ b/src/fronts/http/server.cpp
@@ -1,5 +1,6 @@
 #include "fronts/http/server.hpp"
 
+#include <algorithm>
 #include <cstdio>
 #include <utility>
 #include <vector>
@@ -118,6 +119,14 @@
     close(victim, CloseReason::GaveWay);
 }
 
+// Whether evictConnection() would find one, as far as is known without asking the system.
+bool Server::hasEvictable() const {
+    return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& entry) {
+        const auto& s = *entry.second;
+        return s.state.phase != Phase::Open && s.connection->queued() == 0 && !s.owesAnswers();
+    });
+}
+
 Capacity Server::capacity() const {
     return expectsConnections_ ? capacityOf(sessions_.size(), descriptors_) : Capacity::Ample;
 }
@@ -128,20 +137,18 @@
     if (!listening_) listener_->acceptPendingThenStop();
     const auto capacity = this->capacity();
     std::vector<std::pair<SessionPtr, Decision>> ending;
-    bool hasRoom = sessions_.size() < maxConnections_;
     for (const auto& [number, s] : sessions_) {
         updateMemory(*s);
         if (const auto decision = decide(updateState(*s), capacity, draining_, now);
             decision.action != CloseAction::Keep)
             ending.emplace_back(s, decision);
-        hasRoom = hasRoom || (mayBeEvicted(s->state) && !s->owesAnswers());
     }
-    if (hasRoom) listener_->resume();  // evictConnection() may have paused it
     for (const auto& [s, decision] : ending)
         if (decision.action == CloseAction::ErrorThenShutDown)
             sendError(s, RequestRule::NotWholeInTime, decision.reason);
         else if (decision.action == CloseAction::ShutDown) shutDown(s, decision.reason);
         else close(s, decision.reason);
+    if (hasEvictable()) listener_->resume();  // evictConnection() may have paused it
     const auto ordered = keyOrder_.connections();
     serveOrdered({ordered.begin(), ordered.end()});
     if (draining_ && onEmpty_ && sessions_.empty() && !listener_->hasPending()) {
@@ -254,6 +261,8 @@
         if (*alive) ids_.release(id, !answered && mayHaveRun, io::nowMs());
     };
     enterPhase(*s, Phase::Open);
+    // Accepting goes on over the limit only as long as who comes next has a place.
+    if (sessions_.size() > maxConnections_ && !hasEvictable()) listener_->pause();
     s->hostRequestId = host_.submit(std::move(work), [this, alive = alive_, s](host::Answer a) {
         if (*alive) onAnswer(s, std::move(a));
     });
--- a/src/fronts/http/server.hpp
+++ b/src/fronts/http/server.hpp
@@ -132,6 +132,7 @@
     void enterPhase(Session& s, ConnectionState::Phase phase);
     Capacity capacity() const;
     void evictConnection();
+    bool hasEvictable() const;
     void sweep();
 
     host::Host& host_;
--- a/tests/gateway/platform_close_test.cpp
+++ b/tests/gateway/platform_close_test.cpp
@@ -197,6 +197,34 @@
     ASSERT_TRUE(runLoopUntil([&] { return late.read(), late.answers() == 1; }));
 }
 
+// The same where the last one to get a place idles for a while before it sends its request: accepting was
+// resumed meanwhile, and who came then was one more than there is place for.
+TEST_F(CloseTest, WhoComesAfterOneThatIdledWaitsForAPlace) {
+    sockets = 90;
+    startUntilReady();
+    const auto limit = fronts::http::splitDescriptors(90).clients;
+    std::vector<std::unique_ptr<SocketClient>> open;
+    const auto request = [&open](std::size_t i) {
+        open[i]->send(requestText({.id = "o" + std::to_string(i), .timeout = "60000"}));
+    };
+    for (std::size_t i = 0; i <= limit; ++i) {  // the last one is one over the limit
+        open.push_back(std::make_unique<SocketClient>(port));
+        if (i < limit) request(i);
+        runLoopFor(5);
+    }
+    runLoopFor(250);
+    request(limit);
+    runLoopFor(50);
+    SocketClient late(port);
+    late.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    runLoopFor(300);
+    late.read();
+    EXPECT_EQ(late.answers(), 0);
+    EXPECT_FALSE(late.ended || late.reset);
+    open[0]->disconnect();
+    ASSERT_TRUE(runLoopUntil([&] { return late.read(), late.answers() == 1; }));
+}
+
 // Guards against a second stop that drops open requests: draining starts at once, and the answer still
 // arrives.
 TEST_F(CloseTest, ASecondWordToStopStillAnswersWhatIsOpen) {
