--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -61,7 +61,7 @@
 spokewheel_layer(fronts_http DIRS src/fronts/http SOURCES src/fronts/http/check_request.cpp src/fronts/http/decode_request.cpp src/fronts/http/request_reader.cpp src/fronts/http/key_order.cpp src/fronts/http/read_turns.cpp src/fronts/http/request_ids.cpp src/fronts/http/server.cpp src/fronts/http/server_reading.cpp src/fronts/http/server_order.cpp
   LINKS sw_host sw_wire_http)
 spokewheel_layer(platform DIRS src/platform
-  SOURCES src/platform/configuration.cpp src/platform/dialect.cpp src/platform/startup_node_list.cpp src/platform/change_announcer.cpp src/platform/report.cpp src/platform/platform_daemon.cpp
+  SOURCES src/platform/configuration.cpp src/platform/dialect.cpp src/platform/startup_node_list.cpp src/platform/change_announcer.cpp src/platform/life_signs.cpp src/platform/report.cpp src/platform/platform_daemon.cpp
   LINKS sw_fronts_http sw_nodes sw_registry sw_peers sw_log spokewheel_settings nlohmann_json::nlohmann_json)
 spokewheel_layer(standins DIRS standins SOURCES standins/http_server.cpp standins/storage_node.cpp standins/meter.cpp standins/registry.cpp
   LINKS sw_wire_http sw_io)
--- a/fuzz/peer_fuzz.cpp
+++ b/fuzz/peer_fuzz.cpp
@@ -21,6 +21,12 @@
     }
     if (const auto query = wire::peer::readMembershipQuery(text))
         if (wire::peer::pack(*query) != text) std::abort();
+    if (const auto query = wire::peer::readVouchQuery(text))
+        if (wire::peer::pack(*query) != text) std::abort();
+    if (const auto vouch = wire::peer::readVouch(text))
+        if (wire::peer::pack(*vouch) != text) std::abort();
+    if (const auto sign = wire::peer::readLifeSign(text))
+        if (wire::peer::pack(*sign) != text) std::abort();
     if (const auto part = wire::peer::readMembershipPart(text)) {
         if (part->part >= part->parts || part->members.size() > wire::peer::kMaxMembersPerPart) std::abort();
         const auto packed = wire::peer::packMembership(*part, part->members);
--- a/src/platform/platform_daemon.cpp
+++ b/src/platform/platform_daemon.cpp
@@ -97,23 +97,43 @@
     StartupNodeList::Callbacks callbacks;
     callbacks.onConfirmed = [this](registry::Endpoints list) { onConfirmed(std::move(list)); };
     if (c.schedulerSettings.maySendToPeers && c.peerListen.port > 0) {
-        peers_ = std::make_unique<peers::PlainLink>(c.schedulerSettings.rank, c.peerListen, c.peers,
-                                                    c.peersAll, [this](int from, std::string bytes) {
-                                                        if (const auto notice = wire::peer::readNotice(bytes))
-                                                            onNotice(*notice);
-                                                        else if (!startupList_->onPeerMessage(from, bytes))
-                                                            host_->onPeerMessage(from, std::move(bytes));
-                                                    });
+        peers_ = std::make_unique<peers::PlainLink>(
+            c.schedulerSettings.rank, c.peerListen, c.peers, c.peersAll,
+            [this](int from, std::string bytes) { onPeerDatagram(from, std::move(bytes)); });
         callbacks.sendToPeer = [this](int rank, const std::string& bytes) { peers_->send(rank, bytes); };
-        announcer_ = std::make_unique<ChangeAnnouncer>(
-            registry::witnessesOf(c.schedulerSettings.rank, static_cast<int>(c.peers.size())),
-            callbacks.sendToPeer);
+        const auto witnesses =
+            registry::witnessesOf(c.schedulerSettings.rank, static_cast<int>(c.peers.size()));
+        announcer_ = std::make_unique<ChangeAnnouncer>(witnesses, callbacks.sendToPeer);
+        startLifeSigns(witnesses, callbacks);
     }
     startupList_ =
         std::make_unique<StartupNodeList>(configuration_.known, nodeTable_, static_cast<int>(c.peers.size()),
                                           c.schedulerSettings.rank, c.seed, std::move(callbacks));
 }
 
+void PlatformDaemon::startLifeSigns(std::vector<int> witnesses, const StartupNodeList::Callbacks& callbacks) {
+    LifeSigns::Callbacks own;
+    own.sendToPeer = callbacks.sendToPeer;
+    own.ownListService = [this] {
+        return registry::OwnListService{agentContactAt_,
+                                        watch_ ? watch_->unansweredSince() : std::optional<double>(),
+                                        nodeTable_.revision()};
+    };
+    own.askListService = [this] { watch_->check(); };
+    own.onDecided = [this](int rank, registry::VouchRefusal refusal) {
+        const bool vouched = refusal == registry::VouchRefusal::None;
+        log_.event(Level::Info, vouched ? "peer_vouched_for" : "peer_not_vouched_for",
+                   {{"peer", std::to_string(rank)}, {"reason", nameOf(refusal)}}, io::nowMs());
+    };
+    lifeSigns_ = std::make_unique<LifeSigns>(std::move(witnesses), std::move(own));
+}
+
+void PlatformDaemon::onPeerDatagram(int from, std::string bytes) {
+    if (const auto notice = wire::peer::readNotice(bytes)) return onNotice(from, *notice);
+    if (lifeSigns_->onPeerMessage(from, bytes) || startupList_->onPeerMessage(from, bytes)) return;
+    host_->onPeerMessage(from, std::move(bytes));
+}
+
 void PlatformDaemon::startWatch() {
     watch_ = std::make_unique<registry::EndpointWatcher>(
         configuration_.discovery, configuration_.known.revision, configuration_.seed,
@@ -135,6 +155,7 @@
 // The discovery agent has sent something. Its first message confirms the configured list, together with the
 // changes that it has sent itself.
 void PlatformDaemon::onAgentAnswered() {
+    agentContactAt_ = io::nowMs();
     nodeTable_.noteContact({io::nowMs(), io::wallMs()});
     if (startupList_->agentAnswered()) return startupList_->onAgentAnswered();
     startupList_->onAgentAnswered();
@@ -176,12 +197,19 @@
                    io::nowMs());
     auto change = nodeTable_.apply(std::move(list), form, {io::nowMs(), io::wallMs()});
     if (!change.applied) return;
-    if (announcer_) announcer_->announce(change.news);
+    announce(change.news);
     passOn(std::move(change));
 }
 
+void PlatformDaemon::announce(const std::vector<wire::peer::ChangedNode>& news) {
+    if (!announcer_) return;
+    announcer_->announce(news);
+    for (const auto& node : news) lifeSigns_->onNoticeSent(node.revision);
+}
+
 // A peer's list service has reported changes that this one may not have reported yet.
-void PlatformDaemon::onNotice(const std::vector<wire::peer::ChangedNode>& nodes) {
+void PlatformDaemon::onNotice(int from, const std::vector<wire::peer::ChangedNode>& nodes) {
+    for (const auto& node : nodes) lifeSigns_->onNotice(from, node.revision);
     auto change = nodeTable_.applyNotice(nodes, {io::nowMs(), io::wallMs()});
     if (change.applied) passOn(std::move(change));
 }
@@ -212,6 +240,7 @@
     log_.event(Level::Info, "configuration_read", {{"discovery", read.discovery.text()}}, io::nowMs());
     if (read.discovery.text() == configuration_.discovery.text()) return;
     configuration_.discovery = read.discovery;
+    agentContactAt_.reset();  // what the new one has may be something else
     watch_->moveTo(read.discovery);
 }
 
--- a/src/platform/platform_daemon.hpp
+++ b/src/platform/platform_daemon.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "fronts/http/server.hpp"
@@ -13,6 +14,7 @@
 #include "peers/plain_link.hpp"
 #include "platform/change_announcer.hpp"
 #include "platform/configuration.hpp"
+#include "platform/life_signs.hpp"
 #include "platform/startup_node_list.hpp"
 #include "registry/endpoint_watcher.hpp"
 #include "registry/node_table.hpp"
@@ -41,7 +43,10 @@
     void becomeReady(const char* why);
     void applyConfiguredList();
     void onEndpoints(registry::Endpoints list, ListForm form);
-    void onNotice(const std::vector<wire::peer::ChangedNode>& nodes);
+    void onPeerDatagram(int from, std::string bytes);
+    void onNotice(int from, const std::vector<wire::peer::ChangedNode>& nodes);
+    void announce(const std::vector<wire::peer::ChangedNode>& news);
+    void startLifeSigns(std::vector<int> witnesses, const StartupNodeList::Callbacks& callbacks);
     void passOn(registry::NodeTable::Change change);
     void tryReload();
     void drain();
@@ -59,7 +64,9 @@
     std::unique_ptr<host::Host> host_;
     std::unique_ptr<peers::PlainLink> peers_;
     std::unique_ptr<ChangeAnnouncer> announcer_;  // null without messages to peers
+    std::unique_ptr<LifeSigns> lifeSigns_;        // likewise
     std::unique_ptr<StartupNodeList> startupList_;
+    std::optional<double> agentContactAt_;  // when the current list service last sent something
     std::unique_ptr<registry::EndpointWatcher> watch_;
     io::Timer readyTimer_, counterTimer_, closeTimer_, listenTimer_, reloadTimer_;
     double reloadRetryUntil_ = 0;  // on io::nowMs(); until then an unreadable configuration is read again
--- a/src/platform/startup_node_list.cpp
+++ b/src/platform/startup_node_list.cpp
@@ -27,6 +27,8 @@
 }
 
 void StartupNodeList::askPeers() {
+    for (const int rank : confirmation_.witnessesToAsk())
+        callbacks_.sendToPeer(rank, peer::pack(peer::VouchQuery{nonce_}));
     for (const int rank : confirmation_.peersToQuery())
         callbacks_.sendToPeer(rank, peer::pack(peer::MembershipQuery{nonce_}));
     askTimer_.arm(confirmation_.retryDelayMs(), [this] { askPeers(); });
@@ -37,6 +39,10 @@
         answerQuery(from, *query);
         return true;
     }
+    if (const auto vouch = peer::readVouch(bytes)) {
+        if (!agentAnswered_ && vouch->nonce == nonce_) onVouch(from);
+        return true;
+    }
     const auto part = peer::readMembershipPart(bytes);
     if (part && !agentAnswered_ && part->nonce == nonce_) onAnswerPart(from, *part);
     return part.has_value();
@@ -57,6 +63,12 @@
     for (const auto& bytes : peer::packMembership(head, members)) callbacks_.sendToPeer(to, bytes);
 }
 
+void StartupNodeList::onVouch(int from) {
+    if (!confirmation_.addVouch(from, io::nowMs())) return;
+    callbacks_.sendToPeer(from, peer::pack(peer::MembershipQuery{nonce_}));
+    scheduleConfirmation();
+}
+
 void StartupNodeList::onAnswerPart(int from, const peer::MembershipPart& part) {
     if (confirmation_.addPart(from, part, io::nowMs())) scheduleConfirmation();
 }
--- a/src/platform/startup_node_list.hpp
+++ b/src/platform/startup_node_list.hpp
@@ -39,6 +39,7 @@
   private:
     void askPeers();
     void answerQuery(int to, const wire::peer::MembershipQuery& query);
+    void onVouch(int from);
     void onAnswerPart(int from, const wire::peer::MembershipPart& part);
     void scheduleConfirmation();
     void applyConfirmed(const registry::ConfirmedNodes& nodes);
--- a/src/registry/decide_confirmation.hpp
+++ b/src/registry/decide_confirmation.hpp
@@ -3,7 +3,9 @@
 //
 // The configured list may be out of date: a node that it names may since have been drained, removed or
 // restarted. The list service of this machine may have published that before it stopped answering, and
-// whatever it published binds a process from its start. Peers that stayed up still know. A peer answers with
+// whatever it published binds a process from its start. What it told the previous process here, that process
+// told its witnesses; whether it can have learned of more since, they decide (decide_vouch.hpp), and without
+// one that vouches for it nothing is confirmed. Peers that stayed up still know the list. A peer answers with
 // the nodes that it considers usable and how long ago they started. Peers can only confirm nodes of the
 // configured list, not add any, because the address of a node differs from one scheduler to the next.
 #pragma once
@@ -42,17 +44,32 @@
     Confirmation(int peers, int ownRank, std::uint64_t seed)
         : peers_(peers), ownRank_(ownRank), random_(seed), witnesses_(witnessesOf(ownRank, peers)) {}
 
-    // Returns the ranks of the peers to query now. Up to half of them are peers whose answer is incomplete,
-    // because one of its datagrams was lost. Then come witnesses without an answer, in turn, and the last
-    // ones are drawn at random each time, since most of the fleet may have been restarted too and have no
-    // answer to give.
+    // Returns the ranks of the witnesses to ask now whether they vouch for this process.
+    std::vector<int> witnessesToAsk() const {
+        std::vector<int> out;
+        for (const int rank : witnesses_)
+            if (!vouchers_.count(rank)) out.push_back(rank);
+        return out;
+    }
+    // A witness vouches for this process. Returns false if that is not new, or if it is no witness.
+    bool addVouch(int from, double nowMs) {
+        if (!contains(witnesses_, from) || !vouchers_.insert(from).second) return false;
+        noteVouchedAnswer(from, nowMs);
+        return true;
+    }
+    // Returns the ranks of the peers to query now; none before a witness vouches for this process. Up to half
+    // of them are peers whose answer is incomplete, because one of its datagrams was lost. Then come those
+    // that vouch and have not answered, in turn, and the last ones are drawn at random each time, since most
+    // of the fleet may have been restarted too and have no answer to give.
     std::vector<int> peersToQuery() {
         std::vector<int> out;
+        ++rounds_;
+        if (vouchers_.empty()) return out;
         for (const auto& [rank, answer] : answers_)
             if (!answer.complete() && out.size() < kQueriesPerRound / 2) out.push_back(rank);
         for (std::size_t i = 0; i < witnesses_.size() && out.size() + 1 < kQueriesPerRound; ++i) {
             const int rank = witnesses_[nextWitness_++ % witnesses_.size()];
-            if (!answers_.count(rank) && !contains(out, rank)) out.push_back(rank);
+            if (vouchers_.count(rank) && !answers_.count(rank) && !contains(out, rank)) out.push_back(rank);
         }
         const std::size_t others = peers_ > 1 ? static_cast<std::size_t>(peers_ - 1) : 0;
         for (std::size_t draw = 0; draw < 4 * kQueriesPerRound; ++draw) {
@@ -61,7 +78,6 @@
             if (rank == ownRank_ || answers_.count(rank) || contains(out, rank)) continue;
             out.push_back(rank);
         }
-        ++rounds_;
         return out;
     }
     // Time until the next round of queries.
@@ -82,15 +98,15 @@
         for (const auto& member : part.members)
             answer.startedAt[member.idDigest] =
                 member.ageMs >= wire::peer::kMaxAgeMs ? 0 : nowMs - member.ageMs;
-        if (answer.complete() && contains(witnesses_, from) && firstWitnessAt_ < 0) firstWitnessAt_ = nowMs;
+        noteVouchedAnswer(from, nowMs);
         return true;
     }
-    // Time to wait for further answers until confirmedNodes() returns a result; negative while no witness has
-    // answered completely.
+    // Time to wait for further answers until confirmedNodes() returns a result; negative while no witness
+    // that vouches for this process has answered completely.
     double remainingWaitMs(double nowMs) const {
-        if (firstWitnessAt_ < 0) return -1;
+        if (firstVouchedAt_ < 0) return -1;
         return completeAnswers() >= kSufficientAnswers ? 0
-                                                       : std::max(0.0, firstWitnessAt_ + kCollectMs - nowMs);
+                                                       : std::max(0.0, firstVouchedAt_ + kCollectMs - nowMs);
     }
     // Returns the nodes that all complete answers name; nullopt while remainingWaitMs() is not 0. Answers of
     // other peers than witnesses whose contact with the list service is more than kMaxLagMs older than the
@@ -134,6 +150,11 @@
     static bool contains(const std::vector<int>& ranks, int rank) {
         return std::find(ranks.begin(), ranks.end(), rank) != ranks.end();
     }
+    void noteVouchedAnswer(int from, double nowMs) {
+        const auto answer = answers_.find(from);
+        const bool complete = answer != answers_.end() && answer->second.complete();
+        if (complete && vouchers_.count(from) && firstVouchedAt_ < 0) firstVouchedAt_ = nowMs;
+    }
     std::size_t completeAnswers() const {
         std::size_t count = 0;
         for (const auto& [rank, answer] : answers_) count += answer.complete();
@@ -158,7 +179,8 @@
     std::vector<int> witnesses_;
     std::size_t nextWitness_ = 0;
     std::map<int, Answer> answers_;
-    double firstWitnessAt_ = -1;
+    std::set<int> vouchers_;      // witnesses that vouch for this process
+    double firstVouchedAt_ = -1;  // when the first of them had answered completely
 };
 
 }  // namespace spokewheel::registry
--- a/src/registry/endpoint_watcher.cpp
+++ b/src/registry/endpoint_watcher.cpp
@@ -22,9 +22,14 @@
 void EndpointWatcher::moveTo(const io::Address& at) {
     at_ = at;
     watch_.resetDelays();  // no attempt at the new address has failed yet
+    unansweredSince_.reset();
     connect();
 }
 
+void EndpointWatcher::check() {
+    if (!unansweredSince_) connect();
+}
+
 void EndpointWatcher::connect() {
     if (open_.size() >= WatchState::kMaxConnections) makeRoom();
     const auto stream = std::make_shared<Stream>();
@@ -33,6 +38,7 @@
     stream->openedAt = stream->lastLineAt = io::nowMs();
     stream->timeoutAt = stream->openedAt + watch_.nextAttemptTimeoutMs();
     open_.push_back(stream);
+    if (!unansweredSince_) unansweredSince_ = stream->openedAt;
     if (!stream->connection->open()) return failed(stream, WatchFault::Unreachable, "cannot be reached");
     const std::weak_ptr<Stream> weak = stream;
     stream->connection->setHandler(
@@ -109,6 +115,7 @@
 
 void EndpointWatcher::onData(const StreamPtr& stream, std::string_view bytes) {
     using Result = wire::http::Parser::Result;
+    if (toCurrentAddress(*stream)) unansweredSince_.reset();
     std::string_view part;
     for (;;) switch (stream->parser.next(bytes, part)) {
             case Result::NeedMore:
--- a/src/registry/endpoint_watcher.hpp
+++ b/src/registry/endpoint_watcher.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,12 @@
     // Follows the list service at another address from now on. Connections to the old address are read until
     // the new one delivers data, but are not reopened.
     void moveTo(const io::Address& at);
+    // Opens a new connection beside the others to find out whether the list service still speaks, unless one
+    // is without an answer already.
+    void check();
+    // Since when a connection that was opened to the current address, or the attempt to open one, is without
+    // an answer; nothing if the list service has sent something since.
+    std::optional<double> unansweredSince() const { return unansweredSince_; }
     std::size_t connections() const { return open_.size(); }
     const std::array<std::uint64_t, static_cast<std::size_t>(WatchFault::Count)>& faults() const {
         return faults_;
@@ -67,7 +74,8 @@
     Fault fault_;
     std::function<void()> onContact_;
     std::vector<StreamPtr> open_;  // sorted by age, oldest first
-    double reconnectAt_ = 0;       // when to reconnect if no connection is open
+    std::optional<double> unansweredSince_;
+    double reconnectAt_ = 0;  // when to reconnect if no connection is open
     std::array<std::uint64_t, static_cast<std::size_t>(WatchFault::Count)> faults_{};
     io::Timer attemptTimer_;
 };
--- a/src/wire/peer/membership.cpp
+++ b/src/wire/peer/membership.cpp
@@ -6,7 +6,8 @@
 namespace spokewheel::wire::peer {
 namespace {
 
-constexpr char kQueryKind = 5, kAnswerKind = 6, kNoticeKind = 8;
+constexpr char kQueryKind = 5, kAnswerKind = 6, kNoticeKind = 8, kLifeSignKind = 9, kVouchQueryKind = 10,
+               kVouchKind = 11;
 constexpr std::size_t kKindBytes = 1, kNonceBytes = 4, kVersionBytes = 4, kCountBytes = 2, kAgeBytes = 2,
                       kIdDigestBytes = 5;
 constexpr std::size_t kQueryBytes = kKindBytes + kNonceBytes;
@@ -16,6 +17,7 @@
 constexpr std::size_t kNoticeHeaderBytes = kKindBytes + kRevisionBytes;
 constexpr std::size_t kChangeBytes = kIdDigestBytes + kAgeBytes + kRevisionOffsetBytes;
 constexpr std::size_t kMaxChangesPerNotice = (kMaxMembershipBytes - kNoticeHeaderBytes) / kChangeBytes;
+constexpr std::size_t kLifeSignBytes = kKindBytes + kAgeBytes + kRevisionBytes;
 constexpr std::int64_t kMaxRevisionOffset = 65535;
 constexpr std::uint64_t kMaxAgeUnits = 65535;
 static_assert(kAnswerHeaderBytes + kMaxMembersPerPart * kMemberBytes <= kMaxMembershipBytes);
@@ -37,6 +39,18 @@
 
 double ageMsOf(std::uint64_t units) { return static_cast<double>(units) * kAgeUnitMs; }
 
+std::string packNonce(char kind, std::uint32_t nonce) {
+    std::string out(1, kind);
+    put(out, nonce, kNonceBytes);
+    return out;
+}
+
+std::optional<std::uint32_t> readNonce(char kind, std::string_view bytes) {
+    if (bytes.size() != kQueryBytes || bytes.front() != kind) return std::nullopt;
+    bytes.remove_prefix(kKindBytes);
+    return static_cast<std::uint32_t>(take(bytes, kNonceBytes));
+}
+
 }  // namespace
 
 // FNV-1a, 64 bits folded to 40. Implemented here, so that hosts of different builds agree on the value
@@ -48,9 +62,14 @@
     return (hash ^ hash >> kBits) & ((std::uint64_t{1} << kBits) - 1);
 }
 
-std::string pack(const MembershipQuery& query) {
-    std::string out(1, kQueryKind);
-    put(out, query.nonce, kNonceBytes);
+std::string pack(const MembershipQuery& query) { return packNonce(kQueryKind, query.nonce); }
+std::string pack(const VouchQuery& query) { return packNonce(kVouchQueryKind, query.nonce); }
+std::string pack(const Vouch& vouch) { return packNonce(kVouchKind, vouch.nonce); }
+
+std::string pack(const LifeSign& sign) {
+    std::string out(1, kLifeSignKind);
+    put(out, ageUnitsOf(sign.lastContactAgeMs), kAgeBytes);
+    put(out, static_cast<std::uint64_t>(sign.noticedRevision), kRevisionBytes);
     return out;
 }
 
@@ -76,9 +95,29 @@
 }
 
 std::optional<MembershipQuery> readMembershipQuery(std::string_view bytes) {
-    if (bytes.size() != kQueryBytes || bytes.front() != kQueryKind) return std::nullopt;
+    const auto nonce = readNonce(kQueryKind, bytes);
+    return nonce ? std::optional(MembershipQuery{*nonce}) : std::nullopt;
+}
+
+std::optional<VouchQuery> readVouchQuery(std::string_view bytes) {
+    const auto nonce = readNonce(kVouchQueryKind, bytes);
+    return nonce ? std::optional(VouchQuery{*nonce}) : std::nullopt;
+}
+
+std::optional<Vouch> readVouch(std::string_view bytes) {
+    const auto nonce = readNonce(kVouchKind, bytes);
+    return nonce ? std::optional(Vouch{*nonce}) : std::nullopt;
+}
+
+std::optional<LifeSign> readLifeSign(std::string_view bytes) {
+    if (bytes.size() != kLifeSignBytes || bytes.front() != kLifeSignKind) return std::nullopt;
     bytes.remove_prefix(kKindBytes);
-    return MembershipQuery{static_cast<std::uint32_t>(take(bytes, kNonceBytes))};
+    LifeSign sign;
+    sign.lastContactAgeMs = ageMsOf(take(bytes, kAgeBytes));
+    const auto revision = take(bytes, kRevisionBytes);
+    if (revision > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max())) return std::nullopt;
+    sign.noticedRevision = static_cast<std::int64_t>(revision);
+    return sign;
 }
 
 std::optional<MembershipPart> readMembershipPart(std::string_view bytes) {
--- a/src/wire/peer/membership.hpp
+++ b/src/wire/peer/membership.hpp
@@ -6,8 +6,10 @@
 // sender's list (4), part (2), parts (2), time since the sender last heard from its list service in 100 ms
 // (2), then 7 bytes per node: digest of its id (5) and its age in 100 ms (2; 65535: that or more). Notice:
 // kind (1), revision (8), then 9 bytes per node: digest (5), age since its start (2; 65535: not usable any
-// more), and by how much the revision of its change is lower (2). The kinds continue those of the scheduler's
-// messages (policy/peer_messages.cpp), which ignores unknown ones.
+// more), and by how much the revision of its change is lower (2). Life sign: kind (1), time since the sender
+// last heard from its list service in 100 ms (2), revision of its latest notice (8). Question and answer
+// whether the receiver vouches for the sender: kind (1), nonce (4). The kinds continue those of the
+// scheduler's messages (policy/peer_messages.cpp), which ignores unknown ones.
 #pragma once
 
 #include <cstddef>
@@ -50,10 +52,28 @@
     double ageMs = 0;           // of a usable node, since its start
 };
 
+// Tells witnesses that the sender, whose list service has answered it, is alive.
+struct LifeSign {
+    double lastContactAgeMs = 0;       // since the sender last heard from its list service
+    std::int64_t noticedRevision = 0;  // the highest of the changes that it has sent notices of; 0: none
+};
+// Asks a witness whether this machine's list service can have learned nothing since the sender's previous
+// process ended.
+struct VouchQuery {
+    std::uint32_t nonce = 0;  // repeated in the answer
+};
+// The answer, if it is yes; otherwise there is none.
+struct Vouch {
+    std::uint32_t nonce = 0;
+};
+
 // A 40-bit hash of a node's id, the same on every machine.
 std::uint64_t idDigest(std::string_view id);
 
 std::string pack(const MembershipQuery& query);
+std::string pack(const LifeSign& sign);
+std::string pack(const VouchQuery& query);
+std::string pack(const Vouch& vouch);
 // Encodes all parts of one answer; `head` provides nonce, version and age of the last contact. Ages are
 // rounded down, so that a node never appears older than it is.
 std::vector<std::string> packMembership(const MembershipPart& head, const std::vector<Member>& members);
@@ -63,5 +83,8 @@
 std::optional<MembershipQuery> readMembershipQuery(std::string_view bytes);
 std::optional<MembershipPart> readMembershipPart(std::string_view bytes);
 std::optional<std::vector<ChangedNode>> readNotice(std::string_view bytes);
+std::optional<LifeSign> readLifeSign(std::string_view bytes);
+std::optional<VouchQuery> readVouchQuery(std::string_view bytes);
+std::optional<Vouch> readVouch(std::string_view bytes);
 
 }  // namespace spokewheel::wire::peer
--- a/tests/gateway/soak_start_test.cpp
+++ b/tests/gateway/soak_start_test.cpp
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <filesystem>
 #include <memory>
+#include <ostream>
 
 #include "kit/soak/agent.hpp"
 #include "kit/soak/clients.hpp"
@@ -139,6 +140,14 @@
                    e.process == incarnation && e.at >= from && e.at < until;
         }));
     }
+    // Attempts of the scheduler at the server of a cell.
+    std::size_t attempts(int scheduler, int cell, double from) const {
+        const auto server = servers[static_cast<std::size_t>(cell)]->identity().id;
+        return static_cast<std::size_t>(std::count_if(events.begin(), events.end(), [&](const Event& e) {
+            return e.kind == EventKind::AttemptBegan && e.scheduler == scheduler && e.server == server &&
+                   e.at >= from;
+        }));
+    }
     template <class Condition>
     bool runUntil(double ms, Condition condition) {
         for (const double until = reactor.now() + ms; !condition();) {
@@ -218,6 +227,116 @@
     endOutageAndCheck();
 }
 
+// A change reaches the agent of a process that is not running, and discovery goes down before the other
+// agents have it.
+struct LoneChange {
+    const char* name;
+    int schedulers, killed;  // the first `killed` of the schedulers are restarted
+    double deadMs;           // from the kill to the change
+    double outageAfterMs;    // from the change to the outage
+    const char* phase;
+    double outageMs;
+};
+void PrintTo(const LoneChange& change, std::ostream* out) { *out << change.name; }
+
+// The fault: the next process took the word of peers, which had not heard of the change, and sent to the
+// server for as long as the outage lasted, against what its own agent had (review/10).
+class AgentKnowsMore : public StartFleet, public ::testing::WithParamInterface<LoneChange> {};
+TEST_P(AgentKnowsMore, ThanAnybodyWhomTheNextProcessCanAsk) {
+    const auto& play = GetParam();
+    startFleet(play.schedulers, true);
+    const auto nodeList = agents[0]->fullListJson(0);
+    recordState(EventKind::CellState, 0, false);
+    for (int i = 0; i < play.killed; ++i) processes[static_cast<std::size_t>(i)]->kill();
+    runFor(play.deadMs);
+    servers[0]->setDraining(true);
+    announceTo(0, *servers[0], play.phase);
+    runFor(play.outageAfterMs);
+    setDiscoveryDown(true);
+    runFor(500);
+    for (int i = 0; i < play.killed; ++i) startUninformed(static_cast<std::size_t>(i), nodeList);
+    runFor(play.outageMs - 500);
+    for (int i = 1; i < play.schedulers; ++i) announceTo(i, *servers[0], play.phase);
+    const double outageEnd = reactor.now();
+    endOutageAndCheck();
+    for (int i = 0; i < play.killed; ++i) EXPECT_GT(served(i, outageEnd), 10u) << "n" << i;
+}
+INSTANTIATE_TEST_SUITE_P(Plays, AgentKnowsMore,
+                         ::testing::Values(LoneChange{"OneOfThree", 3, 1, 1000, 500, "draining", 8000},
+                                           LoneChange{"Removed", 3, 1, 700, 20, "removed", 5000},
+                                           LoneChange{"TwoOfThree", 3, 2, 1000, 500, "draining", 8000},
+                                           LoneChange{"LongOutage", 3, 1, 300, 3000, "draining", 14000},
+                                           LoneChange{"FiveOfEight", 8, 5, 600, 200, "draining", 6000}),
+                         [](const auto& info) { return info.param.name; });
+
+// Discovery is down already when processes are killed: their agents can have learned of nothing since, so
+// peers' word is as good as theirs, and the next processes serve while the outage lasts.
+class KilledInAnOutage : public StartFleet, public ::testing::WithParamInterface<double> {};
+TEST_P(KilledInAnOutage, IsServedByPeersWord) {
+    startFleet(3, true);
+    const auto nodeList = agents[0]->fullListJson(0);
+    setDiscoveryDown(true);
+    runFor(GetParam());
+    processes[0]->kill();
+    runFor(1500);
+    start(0, nodeList);
+    const double started = reactor.now();
+    runFor(5000);
+    EXPECT_GT(served(0, started, started + 2500), 10u);
+    // A second kill in the same outage changes nothing.
+    processes[0]->kill();
+    start(0, nodeList);
+    const double startedAgain = reactor.now();
+    runFor(3000);
+    EXPECT_GT(served(0, startedAgain), 10u);
+    endOutageAndCheck();
+}
+INSTANTIATE_TEST_SUITE_P(MillisecondsAfterItsBegin, KilledInAnOutage,
+                         ::testing::Values(0.0, 200.0, 1500.0, 4000.0));
+
+// The agents of the peers were cut off long before, so their silence says nothing of the killed process's
+// agent, which learns of a drain after the kill.
+TEST_F(StartFleet, PeersWhoseOwnAgentsWereCutOffVouchForNobody) {
+    startFleet(3, true);
+    const auto nodeList = agents[0]->fullListJson(0);
+    recordState(EventKind::CellState, 0, false);
+    for (int i = 1; i < 3; ++i) agents[static_cast<std::size_t>(i)]->setDown(true);
+    runFor(4000);
+    processes[0]->kill();
+    runFor(1000);
+    servers[0]->setDraining(true);
+    announceTo(0, *servers[0], "draining");
+    runFor(200);
+    agents[0]->setDown(true);
+    startUninformed(0, nodeList);
+    const double started = reactor.now();
+    runFor(6000);
+    EXPECT_EQ(attempts(0, 0, started + 2000), 0u);
+    for (int i = 1; i < 3; ++i) announceTo(i, *servers[0], "draining");
+    endOutageAndCheck();
+}
+
+// A process was told to use another discovery, which has not answered it: what it knows is not what the
+// agent there has.
+TEST_F(StartFleet, AProcessThatHasMovedToASilentDiscoveryIsVouchedForByNobody) {
+    startFleet(3, true);
+    const auto nodeList = agents[0]->fullListJson(0);
+    Agent elsewhere(reactor, random, record, 0, port(), [](const Member&) {});
+    elsewhere.setDown(true);
+    processes[0]->writeConfiguration(elsewhere.port(), nodeList);
+    processes[0]->reload();
+    runFor(1500);
+    setDiscoveryDown(true);
+    runFor(1000);
+    processes[0]->kill();
+    runFor(500);
+    processes[0]->start();
+    const double started = reactor.now();
+    runFor(5000);
+    EXPECT_TRUE(runUntil(6000, [&] { return processes[0]->ready(); }));
+    EXPECT_EQ(served(0, started), 0u);
+}
+
 // A watch falls silent, a server drains, and discovery goes down before the silence can be noticed. The
 // fault: its process never heard of the drain, which counts as told 6 s after the silence began (soak, seed
 // 30).
