--- a/cmake/Gateway.cmake
+++ b/cmake/Gateway.cmake
@@ -88,7 +88,7 @@
 target_compile_options(spokewheel_faults PRIVATE -Wall -Wextra -fno-sanitize=all)
 target_link_libraries(spokewheel_faults PRIVATE ${CMAKE_DL_LIBS})
 set_target_properties(spokewheel_faults PROPERTIES PREFIX "" LIBRARY_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
-add_library(sw_soak STATIC kit/soak/reactor.cpp kit/soak/record_checker.cpp kit/soak/setting.cpp kit/soak/limit_scenario.cpp kit/soak/busy_client_injector.cpp kit/soak/unsound_request.cpp kit/soak/disk_server.cpp
+add_library(sw_soak STATIC kit/soak/reactor.cpp kit/soak/record_checker.cpp kit/soak/process_lifetimes.cpp kit/soak/setting.cpp kit/soak/limit_scenario.cpp kit/soak/busy_client_injector.cpp kit/soak/answer_fault_injector.cpp kit/soak/unsound_request.cpp kit/soak/disk_server.cpp
   kit/soak/agent.cpp kit/soak/port_source.cpp kit/soak/scheduler_process.cpp kit/soak/request.cpp kit/soak/clients.cpp kit/soak/steady_clients.cpp kit/soak/cluster.cpp kit/soak/fault_injector.cpp kit/soak/soak.cpp)
 target_include_directories(sw_soak PUBLIC ${CMAKE_SOURCE_DIR})
 target_compile_features(sw_soak PUBLIC cxx_std_20)
--- a/kit/soak/busy_client_injector.cpp
+++ b/kit/soak/busy_client_injector.cpp
@@ -16,9 +16,8 @@
     : cluster_(cluster), random_(cluster.options.seed * 0x9e3779b97f4a7c15ULL + 71) {}
 
 void BusyClientInjector::start() {
-    if (!cluster_.options.busyClients) return;
-    injectOne();
-    checkMemory();
+    if (cluster_.options.busyClients) injectOne();
+    if (cluster_.options.busyClients || cluster_.options.unsoundAnswers) checkMemory();
 }
 
 void BusyClientInjector::injectOne() {
--- a/kit/soak/clients.cpp
+++ b/kit/soak/clients.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::size_t kMaxConnections = 24;
 constexpr double kConnectTimeoutMs = 1500;
+// A slow link, and how often its client reads: some 300 KB a second at most.
+constexpr ClientLink kSlowLink = {16 * 1024, 1460};
+constexpr double kSlowReadMs = 50;
 
 }  // namespace
 
@@ -117,7 +120,7 @@
     std::vector<ConnectionPtr> idle;
     for (const auto& connection : connections_)
         if (connection->ready && connection->pending.empty() && !connection->disconnected &&
-            !connection->malformed && !connection->writingSlowly)
+            !connection->malformed && !connection->writingSlowly && !connection->slow)
             idle.push_back(connection);
     if (!idle.empty() && !chance(random_, 0.1))
         return idle[static_cast<std::size_t>(drawBelow(random_, static_cast<int>(idle.size())))];
@@ -128,11 +131,11 @@
     return connections_.size() < kMaxConnections ? dial() : nullptr;
 }
 
-Clients::ConnectionPtr Clients::dial() {
+Clients::ConnectionPtr Clients::dial(const ClientLink& link) {
     auto connection = std::make_shared<Connection>();
     connection->number = newConnectionNumber();
     connection->incarnation = process_.incarnation();
-    connection->tcp = reactor_.dial(process_.port());
+    connection->tcp = reactor_.dial(process_.port(), link);
     connection->port = connection->tcp->localPort();
     connections_.push_back(connection);
     const std::weak_ptr<Connection> weak = connection;
@@ -197,6 +200,7 @@
 void Clients::onData(const ConnectionPtr& connection, std::string_view bytes) {
     using Result = wire::http::Parser::Result;
     if (connection->disconnected) return;
+    if (connection->slow) connection->tcp->pauseReading(true);
     std::string_view part;
     for (;;) switch (connection->parser.next(bytes, part)) {
             case Result::NeedMore:
@@ -352,6 +356,33 @@
     }
 }
 
+void Clients::readSlowly(int answerBytes, double timeoutMs, int cell) {
+    if (!process_.running() || !process_.ready()) return;
+    const auto connection = dial(kSlowLink);
+    connection->slow = true;
+    auto fields = extraRequest(timeoutMs);
+    fields.cell = cell;
+    fields.answerBytes = answerBytes;
+    Request request;
+    request.id = fields.id;
+    request.requestClass = fields.requestClass;
+    request.timeoutMs = timeoutMs;
+    request.cell = cell;
+    request.text = formatRequest(fields);
+    connection->tcp->write(request.text);
+    onRequestSent(connection, std::move(request));
+    readNow(connection);
+}
+
+// Reads once on a slow link, and again a moment later.
+void Clients::readNow(const ConnectionPtr& connection) {
+    if (connection->disconnected || connection->pending.empty()) return;
+    connection->tcp->pauseReading(false);
+    reactor_.after(kSlowReadMs, [this, alive = alive_, connection] {
+        if (*alive) readNow(connection);
+    });
+}
+
 void Clients::openStalledConnections(int count, double durationMs) {
     auto upload = extraRequest(options_.settings.longestDeadlineMs());
     upload.method = "PUT";
--- a/kit/soak/clients.hpp
+++ b/kit/soak/clients.hpp
@@ -33,6 +33,9 @@
     void sendBurst(int count, double leavesAfterMs, Random& random);
     // Sends requests that are not sound, each on a connection of its own. Recorded with their ids.
     void sendUnsoundRequests(int count, Random& random);
+    // Sends a read of a long answer on a connection with a slow link, and reads it as it comes for as long as
+    // it has time.
+    void readSlowly(int answerBytes, double timeoutMs, int cell);
     // Opens connections with half a head of many short fields, or half an upload, and closes them after
     // `durationMs`.
     void openStalledConnections(int count, double durationMs);
@@ -56,6 +59,7 @@
         wire::http::Parser parser{wire::http::Parser::Kind::Response};
         std::string body;
         bool ready = false, disconnected = false, malformed = false, writingSlowly = false, answering = false;
+        bool slow = false;  // a slow link: for one long answer
         std::uint64_t bytesWritten = 0;
         int answered = 0;
         std::deque<Request> pending;  // sent, without a response so far; oldest first
@@ -64,7 +68,8 @@
     void scheduleArrivals();
     Request makeRequest();
     ConnectionPtr pickConnection();
-    ConnectionPtr dial();
+    ConnectionPtr dial(const ClientLink& link = {});
+    void readNow(const ConnectionPtr& connection);
     void sendRequest(const ConnectionPtr& connection, Request request);
     void writeInPieces(const ConnectionPtr& connection, std::string rest, std::function<void()> onDone);
     void onRequestSent(const ConnectionPtr& connection, Request request);
--- a/kit/soak/disk_server.cpp
+++ b/kit/soak/disk_server.cpp
@@ -1,6 +1,7 @@
 #include "kit/soak/disk_server.hpp"
 
 #include <algorithm>
+#include <cstdio>
 #include <cstdlib>
 #include <utility>
 
@@ -10,6 +11,9 @@
 
 constexpr double kAnnouncementToleranceMs = 50;  // no attempt counts as cold until then
 constexpr int kBacklogLength = 512;
+// An answer without an end brings so much every so often.
+constexpr std::size_t kEndlessPieceBytes = 20000;
+constexpr double kEndlessPieceMs = 50;
 int lastAttemptNumber = 0;
 
 std::string parameterOf(const std::string& parameters, const std::string& name) {
@@ -176,7 +180,7 @@
     sessions_.push_back(session);
     const std::weak_ptr<Session> weak = session;
     connection->onData = [this, weak](std::string_view bytes) {
-        if (const auto session = weak.lock()) onData(session, bytes);
+        if (const auto session = weak.lock()) onArrival(session, bytes);
     };
     connection->onEnd = [this, weak](TcpConnection::End) {
         const auto session = weak.lock();
@@ -193,6 +197,52 @@
     if (isPartitioned(scheduler)) connection->pauseReading(true);
 }
 
+void DiskServer::setUnsoundAnswers(const UnsoundAnswers& answers, std::uint64_t seed) {
+    unsound_ = answers;
+    unsoundRandom_.seed(seed);
+}
+
+void DiskServer::onArrival(const SessionPtr& session, std::string_view bytes) {
+    if (unsound_.oneWayMs <= 0) return onData(session, bytes);
+    const std::weak_ptr<Session> weak = session;
+    reactor_.after(unsound_.oneWayMs, [this, alive = alive_, weak, arrived = std::string(bytes)] {
+        const auto open = weak.lock();
+        if (*alive && open && open->connection->open()) onData(open, arrived);
+    });
+}
+
+void DiskServer::sendOnItsWay(const SessionPtr& session, const std::string& bytes) {
+    const std::weak_ptr<Session> weak = session;
+    reactor_.after(unsound_.oneWayMs, [this, alive = alive_, weak, bytes] {
+        const auto open = weak.lock();
+        if (*alive && open && open->connection->open() && !isPartitioned(open->scheduler))
+            open->connection->write(bytes);
+    });
+}
+
+// Sends the response once more, some milliseconds later, if no other request has come by then.
+void DiskServer::sendAgain(const SessionPtr& session, const Attempt& attempt, const std::string& response) {
+    const std::weak_ptr<Session> weak = session;
+    const double lateMs = 1 + (unsound_.mostLateMs - 1) * drawReal(unsoundRandom_);
+    reactor_.after(lateMs, [this, alive = alive_, weak, response, number = attempt.number] {
+        const auto open = weak.lock();
+        if (!*alive || !open || open->attemptBegun || open->attempt.number != number) return;
+        sendOnItsWay(open, response);
+    });
+}
+
+void DiskServer::sendWithoutEnd(const SessionPtr& session) {
+    if (!session->connection->open() || isPartitioned(session->scheduler)) return;
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", kEndlessPieceBytes);
+    session->connection->write(size + std::string(kEndlessPieceBytes, 'e') + "\r\n");
+    const std::weak_ptr<Session> weak = session;
+    reactor_.after(kEndlessPieceMs, [this, alive = alive_, weak] {
+        const auto open = weak.lock();
+        if (*alive && open) sendWithoutEnd(open);
+    });
+}
+
 void DiskServer::onData(const SessionPtr& session, std::string_view bytes) {
     using Result = wire::http::Parser::Result;
     std::string_view part;
@@ -221,6 +271,7 @@
                 attempt.units = std::atof(parameterOf(fieldOf(head, "X-IO"), "units").c_str());
                 attempt.key = parameterOf(fieldOf(head, "Cookie"), "block");
                 attempt.timeoutMs = std::atof(fieldOf(head, "X-Timeout-Ms").c_str());
+                attempt.answerBytes = std::atoi(parameterOf(head.target, "bytes").c_str());
                 recordEvent(EventKind::AttemptBegan, attempt);
                 break;
             }
@@ -311,9 +362,21 @@
 }
 
 void DiskServer::respond(const SessionPtr& session, const Attempt& attempt) {
-    const std::string body = "id:" + attempt.request + ":" + identity_.id + ":" +
-                             std::string(static_cast<std::size_t>(drawBelow(random_, 3000)), 'x');
+    const auto bodyBytes = static_cast<std::size_t>(drawBelow(random_, 3000));
+    const std::string body =
+        "id:" + attempt.request + ":" + identity_.id + ":" +
+        std::string(std::max(bodyBytes, static_cast<std::size_t>(attempt.answerBytes)), 'x');
     const std::string response = responseWithLength("200 OK", body);
+    if (unsound_.oneWayMs > 0 || unsound_.copyShare > 0 || unsound_.endlessShare > 0) {
+        finish(session, attempt, "answered");
+        if (chance(unsoundRandom_, unsound_.endlessShare)) {
+            session->connection->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            return sendWithoutEnd(session);
+        }
+        sendOnItsWay(session, response);
+        if (chance(unsoundRandom_, unsound_.copyShare)) sendAgain(session, attempt, response);
+        return;
+    }
     const std::weak_ptr<TcpConnection> weak = session->connection;
     const int behaviour = randomFaults_ ? drawBelow(random_, 100) : 99;
     if (behaviour < 2) {
--- a/kit/soak/disk_server.hpp
+++ b/kit/soak/disk_server.hpp
@@ -54,6 +54,15 @@
     // part.
     void resetNextUploads(int count) { uploadsToReset_ = count; }
     int uploadsToReset() const { return uploadsToReset_; }
+    // Answers that come twice or never end, from now on.
+    struct UnsoundAnswers {
+        double oneWayMs = 0;      // that the network takes to and from the server
+        double copyShare = 0;     // of the answers that are sent again, as long as nothing else came
+        double mostLateMs = 0;    // after the answer
+        double endlessShare = 0;  // of the answers that never end
+    };
+    // Draws with numbers of its own, so that the other faults of a seed stay as they are.
+    void setUnsoundAnswers(const UnsoundAnswers& answers, std::uint64_t seed);
     // Crashes and starts again, cold.
     void restart();
     // Begins the cold time and records a start, without a crash.
@@ -73,6 +82,7 @@
         int number = 0, scheduler = -1;
         double beganAt = 0, receivedAt = 0, units = 0, timeoutMs = 0;
         std::string request, requestClass, volume, key;
+        int answerBytes = 0;  // that were asked for
         bool limited = false;
     };
     void listenOnAllPorts();
@@ -82,7 +92,11 @@
     }
     void resetConnectionsOf(int scheduler);
     void accept(int scheduler, TcpConnectionPtr connection);
+    void onArrival(const SessionPtr& session, std::string_view bytes);
     void onData(const SessionPtr& session, std::string_view bytes);
+    void sendOnItsWay(const SessionPtr& session, const std::string& bytes);
+    void sendAgain(const SessionPtr& session, const Attempt& attempt, const std::string& response);
+    void sendWithoutEnd(const SessionPtr& session);
     void onRequestComplete(const SessionPtr& session);
     void execute(const SessionPtr& session, const Attempt& attempt);
     void respond(const SessionPtr& session, const Attempt& attempt);
@@ -98,6 +112,8 @@
     std::vector<int> ports_;
     Settings settings_;
     Mode mode_ = Mode::Serving;
+    UnsoundAnswers unsound_;
+    Random unsoundRandom_{1};
     bool draining_ = false, randomFaults_ = true, instant_ = false;
     double startedAt_ = -1e12, busyUntil_ = 0;  // busyUntil_: end of the queued work
     int starts_ = 0, uploadsToReset_ = 0;
--- a/kit/soak/main.cpp
+++ b/kit/soak/main.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <string>
 
+#include "kit/soak/answer_fault_injector.hpp"
 #include "kit/soak/limit_scenario.hpp"
 #include "kit/soak/soak.hpp"
 
@@ -14,14 +15,16 @@
 
 namespace soak = spokewheel::soak;
 
-// The options of the run of one seed: its own settings, busy volumes at their limits and, for every third
-// seed, connection floods.
+// The options of the run of one seed: its own settings, busy volumes at their limits and, for some seeds,
+// connection floods, busy clients or unsound answers.
 soak::Options optionsOf(const soak::Options& options, std::uint64_t seed, bool fixed, bool limits) {
     soak::Options out = options;
     out.seed = seed;
     out.folder = options.folder + "/seed-" + std::to_string(seed);
     if (fixed) return out;
     out.settings = soak::drawSettings(seed);
+    out.unsoundAnswers = out.unsoundAnswers || seed % 10 == 1;
+    if (out.unsoundAnswers) soak::setUpForUnsoundAnswers(out);
     if (limits) soak::drawLimitScenario(out.settings, seed, out.schedulers);
     out.connectionFloods = out.connectionFloods || seed % 3 == 0;
     out.busyClients = out.busyClients || seed % 5 == 2 || seed % 5 == 4;
@@ -76,6 +79,8 @@
                  "inject floods of idle connections that use up the descriptors");
     app.add_flag("--busy-clients", options.busyClients,
                  "clients that send much at once, or what is not sound");
+    app.add_flag("--unsound-answers", options.unsoundAnswers,
+                 "answers that come twice or never end, and clients that read long ones slowly");
     app.add_option("--members", options.extraMembers, "listed servers that no request uses")
         ->check(CLI::Range(0, 10000));
     app.add_option("--churn", options.churnPerSecond, "of those, replaced per second")
--- a/kit/soak/reactor.cpp
+++ b/kit/soak/reactor.cpp
@@ -167,9 +167,13 @@
     return static_cast<double>(at.tv_sec) * 1e3 + static_cast<double>(at.tv_nsec) / 1e6;
 }
 
-TcpConnectionPtr Reactor::dial(int port) {
+TcpConnectionPtr Reactor::dial(int port, const ClientLink& link) {
     const int fd = makeTcpSocket();
     if (fd < 0) throw std::runtime_error("socket() failed");
+    if (link.receiveBuffer > 0)
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &link.receiveBuffer, sizeof link.receiveBuffer);
+    if (link.segmentSize > 0)
+        setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &link.segmentSize, sizeof link.segmentSize);
     noDelay(fd);
     const auto at = loopback(port);
     connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at);
--- a/kit/soak/reactor.hpp
+++ b/kit/soak/reactor.hpp
@@ -50,6 +50,12 @@
 };
 using TcpConnectionPtr = std::shared_ptr<TcpConnection>;
 
+// The machine of a client on a slow link: sizes in bytes of the receive buffer and of the segments that it
+// takes; 0: as the system has them.
+struct ClientLink {
+    int receiveBuffer = 0, segmentSize = 0;
+};
+
 class Reactor {
   public:
     using AcceptHandler = std::function<void(TcpConnectionPtr)>;
@@ -61,7 +67,7 @@
     double now() const;  // milliseconds by CLOCK_MONOTONIC
     // Starts to connect. The result comes through the connection's onConnected or onEnd. Throws
     // std::runtime_error if there is no socket.
-    TcpConnectionPtr dial(int port);
+    TcpConnectionPtr dial(int port, const ClientLink& link = {});
     // Listens on `port` (0: any free one) and returns the port. Throws std::runtime_error.
     int listen(int port, AcceptHandler onAccepted);
     void stopListening(int port);
--- a/kit/soak/record_checker.cpp
+++ b/kit/soak/record_checker.cpp
@@ -5,11 +5,12 @@
 #include <cstdio>
 #include <deque>
 #include <iterator>
-#include <limits>
 #include <map>
 #include <set>
 #include <utility>
 
+#include "kit/soak/process_lifetimes.hpp"
+
 namespace spokewheel::soak {
 namespace {
 
@@ -21,15 +22,6 @@
     return text;
 }
 
-// The times of the start, the readiness, the stop request and the end of one process; infinite: it did not
-// happen.
-struct ProcessLifetime {
-    double from = 0, until = std::numeric_limits<double>::infinity();
-    double readyAt = std::numeric_limits<double>::infinity();
-    double stopAt = std::numeric_limits<double>::infinity();
-    bool killed = false;
-};
-
 class RecordChecker {
   public:
     RecordChecker(std::vector<Event> events, const Requirements& requirements)
@@ -38,7 +30,7 @@
                          [](const Event& a, const Event& b) { return a.at < b.at; });
         for (const auto& event : events_) {
             end_ = std::max(end_, event.at);
-            noteLifetime(event);
+            lifetimes_.note(event);
         }
     }
     std::vector<RuleViolation> run() {
@@ -64,27 +56,6 @@
     void addViolation(Rule rule, const Event& event, const std::string& detail) {
         violations_.push_back({rule, event.at, event.scheduler, event.request, detail});
     }
-    void noteLifetime(const Event& event) {
-        static const std::set<Kind> kProcessEvents = {Kind::ProcessStarted, Kind::ProcessReady,
-                                                      Kind::StopRequested, Kind::Killed, Kind::Exited};
-        if (!kProcessEvents.count(event.kind)) return;
-        auto& lifetime = lifetimes_[{event.scheduler, event.process}];
-        if (event.kind == Kind::ProcessStarted) lifetime.from = event.at;
-        if (event.kind == Kind::ProcessReady) lifetime.readyAt = std::min(lifetime.readyAt, event.at);
-        if (event.kind == Kind::StopRequested) lifetime.stopAt = event.at;
-        if (event.kind == Kind::Killed || event.kind == Kind::Exited) {
-            lifetime.until = event.at;
-            lifetime.killed = event.kind == Kind::Killed;
-        }
-    }
-    // Whether the process that the request was sent to was killed, without a stop request before, by the time
-    // the answer was due. A kill that ends a planned stop does not count: requests still open are lost then.
-    bool killedBefore(const Event& sent, double due) const {
-        const auto found = lifetimes_.find({sent.scheduler, sent.process});
-        if (found == lifetimes_.end()) return false;
-        const auto& lifetime = found->second;
-        return lifetime.killed && lifetime.until <= due && lifetime.stopAt > lifetime.until;
-    }
     const ClassSemantics* semanticsOf(const std::string& name) const {
         for (const auto& semantics : requirements_.classes)
             if (semantics.name == name) return &semantics;
@@ -101,6 +72,8 @@
             if (event.kind == Kind::RequestSent) sent[event.request] = &event;
             if (event.kind == Kind::ClientLeft || event.kind == Kind::AnswerBroken)
                 excused.insert(event.request);
+            if (event.kind == Kind::AnswerBroken && wasCut(event, sent))
+                addViolation(Rule::OneAnswer, event, "the scheduler ended its connection in the answer");
             if (event.kind == Kind::Answered && !event.request.empty()) {
                 if (!answeredAt.emplace(event.request, event.at).second)
                     addViolation(Rule::OneAnswer, event, "second answer");
@@ -115,7 +88,7 @@
             }
             if (event.kind == Kind::ConnectionEnded && !event.request.empty()) {
                 if (event.read && !excused.count(event.request) && !answeredAt.count(event.request) &&
-                    !killedBefore(event, event.at + requirements_.toleranceMs))
+                    !lifetimes_.killedBefore(event, event.at + requirements_.toleranceMs))
                     addViolation(Rule::OneAnswer, event, "read, but the connection ended without an answer");
                 excused.insert(event.request);
             }
@@ -128,9 +101,16 @@
         }
         for (const auto& [request, event] : sent)
             if (!answeredAt.count(request) && !excused.count(request) && dueAt(*event) < end_ &&
-                !killedBefore(*event, dueAt(*event)))
+                !lifetimes_.killedBefore(*event, dueAt(*event)))
                 addViolation(Rule::OneAnswer, *event, "no answer");
     }
+    // Whether a scheduler that goes on running broke off an answer in time. It has all of an answer before it
+    // begins to pass it on, so that no disk server's trouble excuses it.
+    bool wasCut(const Event& broken, const std::map<std::string, const Event*>& sent) const {
+        const auto request = sent.find(broken.request);
+        if (request == sent.end() || broken.at > dueAt(*request->second)) return false;
+        return lifetimes_.ranOnUntil(broken, broken.at + requirements_.toleranceMs);
+    }
     double dueAt(const Event& sent) const {
         return sent.at + sent.timeoutMs + requirements_.answerGraceMs + requirements_.toleranceMs;
     }
@@ -354,12 +334,12 @@
         }
         for (const auto& [connection, event] : open)
             if (event->at + requirements_.malformedTimeoutMs + requirements_.toleranceMs < end_ &&
-                !killedBefore(*event, event->at + requirements_.malformedTimeoutMs))
+                !lifetimes_.killedBefore(*event, event->at + requirements_.malformedTimeoutMs))
                 addViolation(Rule::Malformed, *event, "no error and no close");
     }
 
     void checkStarts() {
-        for (const auto& [processId, lifetime] : lifetimes_) {
+        for (const auto& [processId, lifetime] : lifetimes_.all()) {
             if (processId.first < 0) continue;
             Event event;
             event.scheduler = processId.first;
@@ -370,7 +350,7 @@
         }
         for (const auto& event : events_) {
             if (event.kind != Kind::Exited) continue;
-            const auto& lifetime = lifetimes_.at({event.scheduler, event.process});
+            const auto& lifetime = *lifetimes_.find(event);
             // A process that gets SIGTERM before it has installed its handler is ended by the signal; it has
             // accepted no request yet.
             const bool stoppedBeforeReady = event.status == kExitedBySigterm && lifetime.readyAt > event.at;
@@ -401,11 +381,9 @@
     }
     bool couldBeServed(const Event& sent, const ImpairedSpans& cells, const ImpairedSpans& schedulers) const {
         const double due = sent.at + sent.timeoutMs;
-        const auto found = lifetimes_.find({sent.scheduler, sent.process});
-        if (found == lifetimes_.end() || sent.cell < 0 || sent.timeoutMs < requirements_.minTimeoutMs)
-            return false;
-        const auto& process = found->second;
-        return process.readyAt <= sent.at && process.until > due && process.stopAt > due && due <= end_ &&
+        const auto* process = lifetimes_.find(sent);
+        if (!process || sent.cell < 0 || sent.timeoutMs < requirements_.minTimeoutMs) return false;
+        return process->readyAt <= sent.at && process->until > due && process->stopAt > due && due <= end_ &&
                !within(cells, std::to_string(sent.cell), sent.at, due) &&
                !within(schedulers, std::to_string(sent.scheduler), sent.at, due);
     }
@@ -492,7 +470,7 @@
     static constexpr int kExitedBySigterm = 128 + 15;
     std::vector<Event> events_;
     const Requirements& requirements_;
-    std::map<std::pair<int, int>, ProcessLifetime> lifetimes_;
+    ProcessLifetimes lifetimes_;
     std::vector<RuleViolation> violations_;
     double end_ = 0;
 };
--- a/kit/soak/request.cpp
+++ b/kit/soak/request.cpp
@@ -6,8 +6,10 @@
 
 std::string formatRequest(const ClientRequest& request) {
     const bool hasBody = request.method == "PUT";
-    std::string text =
-        request.method + " /" + request.requestClass + "/object HTTP/1.1\r\nHost: service.internal\r\n";
+    const std::string query =
+        request.answerBytes > 0 ? "?bytes=" + std::to_string(request.answerBytes) : std::string();
+    std::string text = request.method + " /" + request.requestClass + "/object" + query +
+                       " HTTP/1.1\r\nHost: service.internal\r\n";
     text += "X-Request-ID: " + request.id + "\r\n";
     text += "X-Priority-Class: " + request.requestClass + "\r\n";
     text += "X-Plan: " + request.plan + "\r\n";
--- a/kit/soak/request.hpp
+++ b/kit/soak/request.hpp
@@ -11,7 +11,8 @@
     double timeoutMs = 0;
     std::string volume;  // 16 hex digits
     int units = 1, cell = 0, hosts = 1;
-    std::string body;  // only sent with a PUT
+    std::string body;     // only sent with a PUT
+    int answerBytes = 0;  // that the disk servers of the soak are asked for; 0: as they like
 };
 // The whole HTTP request, head and body.
 std::string formatRequest(const ClientRequest& request);
--- a/kit/soak/setting.hpp
+++ b/kit/soak/setting.hpp
@@ -88,6 +88,7 @@
     bool injectFaults = true;
     bool connectionFloods = false;  // floods of idle connections that use up a scheduler's descriptors
     bool busyClients = false;       // clients that send much, or what is not sound (busy_client_injector.hpp)
+    bool unsoundAnswers = false;    // that come twice or never end (answer_fault_injector.hpp)
     int extraMembers = 0;           // additional entries of the node list, in cells that no request uses
     double churnPerSecond = 0;      // extra members that are replaced by new ones each second
     Settings settings;
--- a/kit/soak/soak.cpp
+++ b/kit/soak/soak.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <utility>
 
+#include "kit/soak/answer_fault_injector.hpp"
 #include "kit/soak/busy_client_injector.hpp"
 #include "kit/soak/cluster.hpp"
 #include "kit/soak/fault_injector.hpp"
@@ -55,10 +56,12 @@
     FaultInjector faultInjector(cluster);
     LimitFaultInjector limitFaultInjector(cluster);
     BusyClientInjector busyClientInjector(cluster);
+    AnswerFaultInjector answerFaultInjector(cluster);
     cluster.start();
     cluster.reactor.runUntil(cluster.startedAt + kWarmUpMs);
     limitFaultInjector.start();
     busyClientInjector.start();
+    answerFaultInjector.start();
     const double end = cluster.startedAt + 1000 * options.seconds;
     while (cluster.reactor.now() < end) {
         if (options.injectFaults) faultInjector.injectRandomFaults();
@@ -68,6 +71,7 @@
     cluster.clearFaults();
     limitFaultInjector.stop();
     busyClientInjector.stop();
+    answerFaultInjector.stop();
     cluster.reactor.runUntil(cluster.reactor.now() + kCooldownMs);
     cluster.stop();
     return resultOf(cluster);
@@ -107,7 +111,8 @@
     std::ostringstream out;
     out << "seed " << options.seed << ", " << options.schedulers << " schedulers, " << options.seconds << " s"
         << (options.connectionFloods ? ", connection floods" : "")
-        << (options.busyClients ? ", busy clients" : "") << ":";
+        << (options.busyClients ? ", busy clients" : "")
+        << (options.unsoundAnswers ? ", unsound answers" : "") << ":";
     for (const auto& [name, count] : result.counts) out << " " << name << " " << count << ",";
     out << " largest delay of the harness " << static_cast<int>(result.worstLagMs) << " ms\n";
     out << "  settings: " << options.settings.summary() << "\n";
--- a/tests/gateway/soak_judge_test.cpp
+++ b/tests/gateway/soak_judge_test.cpp
@@ -116,6 +116,20 @@
     record.back().read = true;
     expectViolation(Rule::OneAnswer, "r2");
 }
+// Guards against an answer that is cut for a newcomer (review/9): it used to be excused as a broken one.
+TEST_F(SoakJudge, FindsAnAnswerThatTheSchedulerCut) {
+    record.push_back(sent(100, "r2"));
+    record.push_back(event(EventKind::AnswerBroken, 300, "r2"));
+    expectViolation(Rule::OneAnswer, "r2");
+    record.back().at = 100 + 900 + 560;  // its time was over
+    expectNoViolation();
+    record = validRecord();
+    record.resize(record.size() - 2);  // its process is killed and not stopped
+    record.push_back(sent(100, "r2"));
+    record.push_back(event(EventKind::AnswerBroken, 300, "r2"));
+    record.push_back(event(EventKind::Killed, 310));
+    expectNoViolation();
+}
 TEST_F(SoakJudge, FindsAnAttemptAfterTheEnd) {
     attempt(record, 95, {.request = "r1", .number = 2});
     expectViolation(Rule::OneAnswer, "r1");
